--- /dev/null
+++ b/src/daemon/agentprocess.cpp
@@ -0,0 +1,145 @@
+#include "agentprocess.h"
+
+#include "processmetrics.h"
+
+#include "agent/agenttraffic.h"
+#include "control/platformwriter.h"
+#include "control/watcher.h"
+#include "membership/announcement.h"
+#include "observability/adminserver.h"
+#include "observability/log.h"
+#include "platform/attempt.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace Daemon {
+
+using Observability::Level;
+using Observability::log;
+
+static constexpr std::chrono::milliseconds StartCallTimeout{1000};
+static constexpr std::chrono::milliseconds WorkCheckInterval{50};
+static constexpr std::chrono::milliseconds LeaveLimit{3000};
+
+/// Time in which packets of moved flows may still come here after the announcement is gone.
+static constexpr std::chrono::seconds StrayPacketTime{2};
+
+/// Returns an incarnation above every earlier one, as far as the platform says.
+static Model::Incarnation nextIncarnation(const Configuration::ProcessSettings &process)
+{
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::uint64_t incarnation = std::uint64_t(now.count());
+    Platform::HttpObjectClient client(process.platform, StartCallTimeout);
+    const auto read = Platform::attempt(
+        [&] { return client.read(Membership::instanceKey(process.name)); });
+    if (const auto *object = std::get_if<Platform::Object>(&read)) {
+        if (const auto earlier = Membership::decodeAnnouncement(object->value))
+            incarnation = std::max(incarnation, std::uint64_t(earlier->incarnation) + 1);
+    }
+    return Model::Incarnation(incarnation);
+}
+
+static Model::Instance instanceOf(const Configuration::AgentSettings &settings)
+{
+    Model::Instance instance;
+    instance.name = settings.process.name;
+    instance.service = settings.service;
+    instance.failureDomain = settings.process.failureDomain;
+    instance.tunnel = settings.process.tunnel;
+    instance.peer = settings.peer;
+    instance.capacity = settings.capacity;
+    instance.state = Model::InstanceState::Draining;
+    instance.incarnation = nextIncarnation(settings.process);
+    return instance;
+}
+
+namespace {
+
+/// The threads of an agent and what they tell each other.
+class AgentProcess
+{
+public:
+    explicit AgentProcess(const Configuration::AgentSettings &settings);
+
+    nlohmann::json state();
+    std::string snapshot() const { return Control::encodeListing(watcher_.snapshot()); }
+
+    /// Moves the open work to peers, waits for it, and leaves.
+    void stop();
+
+private:
+    Configuration::AgentSettings settings_;
+    Model::Instance instance_;
+    Agent::AgentTraffic traffic_;
+    Control::PlatformWriter writer_;
+    Control::Watcher watcher_;
+};
+
+AgentProcess::AgentProcess(const Configuration::AgentSettings &settings)
+    : settings_(settings)
+    , instance_(instanceOf(settings))
+    , traffic_({instance_, settings.fabric, settings.backend, settings.warmUp,
+                settings.maximumPacketBytes})
+    , writer_(settings.process.platform, instance_, std::random_device()(),
+              [this](const Control::AnnouncementKeeper &keeper) {
+                  log(Level::Warning, "drain-asked",
+                      {{"byOperator", keeper.isDrainAsked()}, {"replaced", keeper.isReplaced()}});
+                  traffic_.drain();
+              })
+    , watcher_(settings.process.platform, settings.process.peers, std::random_device()(),
+               [this](const Control::ClusterView &view) {
+                   writer_.onView(view);
+                   traffic_.setTable(view.table());
+               })
+{
+    traffic_.start({[this](Model::InstanceState state) { writer_.want(state); },
+                    [this](const Membership::SuspectPeer &peer) {
+                        writer_.suspect(peer.name, peer.incarnation);
+                    },
+                    [this] { watcher_.hurry(); }});
+}
+
+nlohmann::json AgentProcess::state()
+{
+    nlohmann::json state = traffic_.state();
+    state["table"] = {{"version", watcher_.table()->version()},
+                      {"ageMilliseconds", watcher_.age().count()}};
+    state["platformCalls"] = watcher_.platformCalls() + writer_.platformCalls();
+    return state;
+}
+
+void AgentProcess::stop()
+{
+    traffic_.drain();
+    const auto limit = std::chrono::steady_clock::now() + settings_.stopGrace;
+    while (traffic_.openWork() > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(WorkCheckInterval);
+    traffic_.closeRemaining();
+    writer_.leave(LeaveLimit);
+    std::this_thread::sleep_for(StrayPacketTime);
+}
+
+} // namespace
+
+void runAgent(const Configuration::AgentSettings &settings,
+              const std::function<void()> &waitForStop)
+{
+    AgentProcess process(settings);
+    const auto state = [&process] { return process.state(); };
+    const Observability::AdminServer admin(
+        settings.process.admin, std::make_shared<ProcessMetrics>(state), state,
+        [&process] { return nlohmann::json::parse(process.snapshot()); });
+    log(Level::Info, "agent-started",
+        {{"name", settings.process.name}, {"service", settings.service}});
+
+    waitForStop();
+    log(Level::Info, "agent-stopping", {{"name", settings.process.name}});
+    process.stop();
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,93 @@
+#include "agentprocess.h"
+#include "balancerprocess.h"
+
+#include "observability/log.h"
+
+#include <Poco/Exception.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <kj/exception.h>
+
+#include <csignal>
+#include <cstdio>
+#include <system_error>
+
+DEFINE_string(settings, "", "settings file, JSON with comments");
+DEFINE_string(log_level, "info", "debug, info, warning or error");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace Daemon {
+
+static constexpr int ExitFailed = 1;
+static constexpr int ExitBadSettings = 2;
+
+using Observability::Level;
+using Observability::log;
+
+/// Blocks SIGTERM and SIGINT in this thread and those that it starts.
+static sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+static int run(const Configuration::Settings &settings)
+{
+    const sigset_t signals = blockStopSignals();
+    const auto waitForStop = [&signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+    };
+    try {
+        if (const auto *balancer = std::get_if<Configuration::BalancerSettings>(&settings))
+            runBalancer(*balancer, waitForStop);
+        else
+            runAgent(std::get<Configuration::AgentSettings>(settings), waitForStop);
+        log(Level::Info, "stopped");
+        return 0;
+    } catch (const std::system_error &error) {
+        log(Level::Error, "start-failed", {{"error", error.what()}});
+    } catch (const Poco::Exception &error) {
+        log(Level::Error, "start-failed", {{"error", error.displayText()}});
+    } catch (const kj::Exception &error) {
+        log(Level::Error, "start-failed", {{"error", error.getDescription().cStr()}});
+    }
+    return ExitFailed;
+}
+
+static int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("--settings FILE [--check] [--log_level LEVEL]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto level = Observability::levelNamed(FLAGS_log_level);
+    if (!level || FLAGS_settings.empty()) {
+        fmt::print(stderr, "gypsumwingd: {}\n",
+                   level ? "--settings is missing" : "--log_level is unknown");
+        return ExitBadSettings;
+    }
+    Observability::setLogLevel(*level);
+    return boost::leaf::try_handle_all(
+        []() -> boost::leaf::result<int> {
+            BOOST_LEAF_AUTO(document, Configuration::Document::load(FLAGS_settings));
+            BOOST_LEAF_AUTO(settings, Configuration::readSettings(document));
+            return FLAGS_check ? 0 : run(settings);
+        },
+        [](const Configuration::FileError &error) {
+            fmt::print(stderr, "{}\n", Configuration::errorText(error));
+            return ExitBadSettings;
+        },
+        [] { return ExitFailed; });
+}
+
+} // namespace Daemon
+
+int main(int argc, char **argv)
+{
+    return Daemon::main(argc, argv);
+}
--- /dev/null
+++ b/src/daemon/processmetrics.cpp
@@ -0,0 +1,75 @@
+#include "processmetrics.h"
+
+#include <prometheus/metric_family.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Daemon {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+static std::string metricName(const std::string &path)
+{
+    std::string name = "gypsumwing";
+    for (const char character : path) {
+        if (character >= 'A' && character <= 'Z')
+            name += {'_', char(character - 'A' + 'a')};
+        else
+            name += character == '/' || character == '-' ? '_' : character;
+    }
+    return name;
+}
+
+/// Members of these objects are label values of one metric.
+static bool hasCauses(const std::string &path)
+{
+    static const std::set<std::string> Paths{"/packets/dropped", "/packets/faults",
+                                             "/requests/refused", "/flows/transfers"};
+    return Paths.contains(path);
+}
+
+static ClientMetric gauge(double value)
+{
+    ClientMetric metric;
+    metric.gauge.value = value;
+    return metric;
+}
+
+static void collect(const nlohmann::json &object, const std::string &path,
+                    std::vector<MetricFamily> &families)
+{
+    if (hasCauses(path)) {
+        MetricFamily family{metricName(path), "By cause, since the start.", MetricType::Gauge, {}};
+        for (const auto &[cause, count] : object.items()) {
+            ClientMetric metric = gauge(count.get<double>());
+            metric.label.push_back({"cause", cause});
+            family.metric.push_back(std::move(metric));
+        }
+        families.push_back(std::move(family));
+        return;
+    }
+    for (const auto &[key, value] : object.items()) {
+        const std::string memberPath = path + '/' + key;
+        if (value.is_object())
+            collect(value, memberPath, families);
+        else if (value.is_number())
+            families.push_back({metricName(memberPath), "As in the state dump.",
+                                MetricType::Gauge, {gauge(value.get<double>())}});
+    }
+}
+
+ProcessMetrics::ProcessMetrics(std::function<nlohmann::json()> state)
+    : state_(std::move(state))
+{}
+
+std::vector<MetricFamily> ProcessMetrics::Collect() const
+{
+    std::vector<MetricFamily> families;
+    collect(state_(), "", families);
+    return families;
+}
+
+} // namespace Daemon
--- /dev/null
+++ b/src/libs/balancer/forwarder.cpp
@@ -0,0 +1,101 @@
+#include "balancer/forwarder.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace Balancer {
+
+static constexpr int PollTimeoutMs = 100;
+
+const char *dropCauseText(DropCause cause)
+{
+    switch (cause) {
+    case DropCause::NotGre:
+        return "not-gre";
+    case DropCause::UnknownService:
+        return "unknown-service";
+    case DropCause::NoInstance:
+        return "no-instance";
+    }
+    return "unknown";
+}
+
+Decision decide(const Routing::RoutingTable &table, Tunnel::Bytes packet)
+{
+    const auto parsed = Tunnel::parseTcpPacket(packet);
+    if (const auto *fault = std::get_if<Tunnel::PacketFault>(&parsed))
+        return *fault;
+    const auto &tcp = std::get<Tunnel::TcpPacket>(parsed);
+    const Routing::ServiceTable *const service = table.find(tcp.flow.service);
+    if (!service)
+        return DropCause::UnknownService;
+
+    const auto kind = tcp.opensFlow() ? Routing::PacketKind::OpensFlow
+                                      : Routing::PacketKind::OfFlow;
+    Tunnel::PacketHeader header;
+    header.chain = service->chainFor(Model::flowHash(tcp.flow), kind);
+    header.opensFlow = tcp.opensFlow();
+    if (header.chain.isEmpty())
+        return DropCause::NoInstance;
+    const Model::Endpoint receiver = header.chain[0].tunnel;
+    return Forward{{service->id(), table.generation(), header}, receiver};
+}
+
+Forwarder::Forwarder(const Model::Endpoint &tunnel)
+    : socket_(Tunnel::openUdpSocket(tunnel))
+    , table_(std::make_shared<Routing::RoutingTable>())
+    , thread_([this] { run(); })
+{}
+
+Forwarder::~Forwarder()
+{
+    stopping_ = true;
+    thread_.join();
+    close(socket_);
+}
+
+void Forwarder::setTable(std::shared_ptr<const Routing::RoutingTable> table)
+{
+    table_.store(std::move(table));
+}
+
+void Forwarder::run()
+{
+    while (!stopping_) {
+        pollfd waiting{socket_, POLLIN, 0};
+        if (poll(&waiting, 1, PollTimeoutMs) <= 0)
+            continue;
+        while (const std::size_t count = received_.receive(socket_))
+            forwardBatch(count);
+    }
+}
+
+void Forwarder::forwardBatch(std::size_t count)
+{
+    batchTable_ = table_.load();
+    headerCount_ = 0;
+    counters_.received += count;
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto packet = Tunnel::unwrapGre(received_.datagram(index));
+        if (packet)
+            queue(decide(*batchTable_, *packet), *packet);
+        else
+            ++counters_.drops[std::size_t(DropCause::NotGre)];
+    }
+    counters_.forwarded += outgoing_.flush(socket_);
+}
+
+void Forwarder::queue(const Decision &decision, Tunnel::Bytes packet)
+{
+    if (const auto *forward = std::get_if<Forward>(&decision)) {
+        std::vector<std::byte> &header = headers_[headerCount_++];
+        Tunnel::encodeDatagram(forward->datagram, header);
+        outgoing_.add(header, packet, forward->receiver);
+    } else if (const auto *cause = std::get_if<DropCause>(&decision)) {
+        ++counters_.drops[std::size_t(*cause)];
+    } else {
+        ++counters_.faults[std::size_t(std::get<Tunnel::PacketFault>(decision))];
+    }
+}
+
+} // namespace Balancer
--- /dev/null
+++ b/src/libs/control/announcementkeeper.cpp
@@ -0,0 +1,97 @@
+#include "control/announcementkeeper.h"
+
+#include "membership/announcement.h"
+
+namespace Control {
+
+static constexpr std::chrono::milliseconds FirstPause{100};
+static constexpr std::chrono::milliseconds LongestPause{5000};
+
+AnnouncementKeeper::AnnouncementKeeper(Model::Instance wanted, std::uint64_t seed)
+    : wanted_(std::move(wanted))
+    , backoff_(FirstPause, LongestPause, seed)
+{}
+
+void AnnouncementKeeper::want(Model::InstanceState state)
+{
+    wanted_.state = wanted_.drainAsked ? Model::InstanceState::Draining : state;
+}
+
+void AnnouncementKeeper::leave()
+{
+    leaving_ = true;
+}
+
+bool AnnouncementKeeper::isSettled() const
+{
+    if (leaving_)
+        return left_ || replaced_;
+    return isKnown_ && announced_ == wanted_;
+}
+
+AnnouncementStep AnnouncementKeeper::next(TimePoint now) const
+{
+    if (now < notBefore_)
+        return Rest{notBefore_};
+    if (replaced_ || isSettled())
+        return Rest{TimePoint::max()};
+    if (!isKnown_)
+        return ReadAnnouncement{};
+    if (leaving_ && !announced_)
+        return Rest{TimePoint::max()};
+    if (leaving_)
+        return RemoveAnnouncement{version_};
+    Platform::Precondition precondition = Platform::IfAbsent{};
+    if (announced_)
+        precondition = Platform::IfVersion{version_};
+    return WriteAnnouncement{Membership::encodeAnnouncement(wanted_), precondition};
+}
+
+void AnnouncementKeeper::onSeen(Platform::Version version,
+                                const std::optional<Model::Instance> &announced)
+{
+    // A stale read, or a watch that reports what this agent wrote itself.
+    if (isKnown_ && version <= version_)
+        return;
+    isKnown_ = true;
+    version_ = version;
+    announced_ = announced;
+    left_ = leaving_ && !announced;
+    if (!announced)
+        return;
+    if (announced->incarnation > wanted_.incarnation)
+        replaced_ = true;
+    if (announced->incarnation == wanted_.incarnation && announced->drainAsked) {
+        wanted_.drainAsked = true;
+        wanted_.state = Model::InstanceState::Draining;
+    }
+}
+
+void AnnouncementKeeper::onWritten(Platform::Version version)
+{
+    backoff_.onSuccess();
+    version_ = version;
+    isKnown_ = true;
+    if (leaving_) {
+        announced_.reset();
+        left_ = true;
+        return;
+    }
+    announced_ = wanted_;
+}
+
+void AnnouncementKeeper::onFailed(TimePoint now, Platform::FailureKind kind)
+{
+    if (kind == Platform::FailureKind::NotFound) {
+        // No announcement yet, or it is deleted already.
+        isKnown_ = true;
+        announced_.reset();
+        left_ = leaving_;
+        return;
+    }
+    if (kind == Platform::FailureKind::Conflict || kind == Platform::FailureKind::OutcomeUnknown)
+        isKnown_ = false;
+    notBefore_ = now + backoff_.onFailure();
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/platformwriter.cpp
@@ -0,0 +1,175 @@
+#include "control/platformwriter.h"
+
+#include "membership/announcement.h"
+#include "observability/log.h"
+#include "platform/attempt.h"
+
+#include <algorithm>
+
+namespace Control {
+
+using Observability::Level;
+using Observability::log;
+using Platform::attempt;
+using Platform::FailureKind;
+
+static constexpr std::chrono::milliseconds CallTimeout{1500};
+static constexpr std::chrono::seconds LongestRest{60};
+static constexpr std::size_t MaxSuspicions = 32;
+
+PlatformWriter::PlatformWriter(const Model::Endpoint &platform, Model::Instance wanted,
+                               std::uint64_t seed, Noticed noticed)
+    : client_(platform, CallTimeout)
+    , noticed_(std::move(noticed))
+    , keeper_(std::move(wanted), seed)
+    , thread_([this] { run(); })
+{}
+
+PlatformWriter::~PlatformWriter()
+{
+    {
+        const std::lock_guard guard(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    client_.abort();
+    thread_.join();
+}
+
+void PlatformWriter::want(Model::InstanceState state)
+{
+    {
+        const std::lock_guard guard(mutex_);
+        keeper_.want(state);
+    }
+    wake_.notify_all();
+}
+
+void PlatformWriter::suspect(const std::string &name, Model::Incarnation incarnation)
+{
+    {
+        const std::lock_guard guard(mutex_);
+        if (suspicions_.size() < MaxSuspicions)
+            suspicions_.push_back({name, incarnation});
+    }
+    wake_.notify_all();
+}
+
+void PlatformWriter::onView(const ClusterView &view)
+{
+    {
+        const std::lock_guard guard(mutex_);
+        const std::string &name = keeper_.wanted().name;
+        const auto version = view.registry().versionOf(name);
+        if (version == Platform::Version{})
+            return;
+        keeper_.onSeen(version, view.registry().find(name));
+    }
+    wake_.notify_all();
+}
+
+void PlatformWriter::leave(std::chrono::milliseconds limit)
+{
+    std::unique_lock lock(mutex_);
+    keeper_.leave();
+    wake_.notify_all();
+    settled_.wait_for(lock, limit, [this] { return keeper_.isSettled(); });
+}
+
+void PlatformWriter::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        const auto now = std::chrono::steady_clock::now();
+        const AnnouncementStep step = keeper_.next(now);
+        if (const auto *rest = std::get_if<Rest>(&step)) {
+            if (keeper_.isSettled())
+                settled_.notify_all();
+            if (suspicions_.empty()) {
+                wake_.wait_until(lock, std::min(rest->until, now + LongestRest));
+                lock.unlock();
+                notice();
+                lock.lock();
+                continue;
+            }
+            const Suspicion suspicion = suspicions_.front();
+            suspicions_.pop_front();
+            lock.unlock();
+            writeSuspicion(suspicion);
+            lock.lock();
+            continue;
+        }
+        lock.unlock();
+        carryOut(step);
+        notice();
+        lock.lock();
+    }
+}
+
+void PlatformWriter::carryOut(const AnnouncementStep &step)
+{
+    std::string key;
+    {
+        const std::lock_guard guard(mutex_);
+        key = Membership::instanceKey(keeper_.wanted().name);
+    }
+    if (std::holds_alternative<ReadAnnouncement>(step)) {
+        const auto read = attempt([&] { return client_.read(key); });
+        const std::lock_guard guard(mutex_);
+        if (const auto *object = std::get_if<Platform::Object>(&read))
+            keeper_.onSeen(object->version, Membership::decodeAnnouncement(object->value));
+        else
+            keeper_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(read));
+        return;
+    }
+
+    const auto written = attempt([&] {
+        if (const auto *removal = std::get_if<RemoveAnnouncement>(&step))
+            return client_.remove(key, removal->version);
+        const auto &write = std::get<WriteAnnouncement>(step);
+        return client_.write(key, write.value, write.precondition);
+    });
+    const std::lock_guard guard(mutex_);
+    if (const auto *version = std::get_if<Platform::Version>(&written))
+        keeper_.onWritten(*version);
+    else
+        keeper_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(written));
+}
+
+void PlatformWriter::writeSuspicion(const Suspicion &suspicion)
+{
+    const std::string key = Membership::instanceKey(suspicion.name);
+    const auto read = attempt([&] { return client_.read(key); });
+    const auto *const object = std::get_if<Platform::Object>(&read);
+    if (!object)
+        return;
+    auto instance = Membership::decodeAnnouncement(object->value);
+    // Another peer was first, or the suspect is back under a new incarnation.
+    if (!instance || instance->incarnation != suspicion.incarnation
+        || instance->state == Model::InstanceState::Suspect)
+        return;
+    instance->state = Model::InstanceState::Suspect;
+    const auto written = attempt([&] {
+        return client_.write(key, Membership::encodeAnnouncement(*instance),
+                             Platform::IfVersion{object->version});
+    });
+    log(Level::Warning, "peer-suspect",
+        {{"instance", suspicion.name},
+         {"written", std::holds_alternative<Platform::Version>(written)}});
+}
+
+void PlatformWriter::notice()
+{
+    bool changed = false;
+    {
+        const std::lock_guard guard(mutex_);
+        changed = keeper_.isDrainAsked() != noticedDrain_
+            || keeper_.isReplaced() != noticedReplacement_;
+        noticedDrain_ = keeper_.isDrainAsked();
+        noticedReplacement_ = keeper_.isReplaced();
+    }
+    if (changed)
+        noticed_(keeper_);
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/platformwriter.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "control/announcementkeeper.h"
+#include "control/clusterview.h"
+#include "platform/httpobjectclient.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace Control {
+
+/// Writes an agent's announcement, and suspicions of its peers, with blocking calls on a thread of
+/// its own.
+class PlatformWriter
+{
+public:
+    /// Called on the writer's thread when an operator asked for a drain, or when a later
+    /// incarnation replaced this one.
+    using Noticed = std::function<void(const AnnouncementKeeper &)>;
+
+    PlatformWriter(const Model::Endpoint &platform, Model::Instance wanted, std::uint64_t seed,
+                   Noticed noticed);
+    ~PlatformWriter();
+    PlatformWriter(const PlatformWriter &) = delete;
+    PlatformWriter &operator=(const PlatformWriter &) = delete;
+
+    /// Changes the state to announce. Thread-safe.
+    void want(Model::InstanceState state);
+
+    /// Announces that the peer called \a name, in this \a incarnation, is suspect. Thread-safe.
+    void suspect(const std::string &name, Model::Incarnation incarnation);
+
+    /// Compares the announcement in \a view with the wanted one. Thread-safe.
+    void onView(const ClusterView &view);
+
+    /// Deletes the announcement; waits up to \a limit for it. Thread-safe.
+    void leave(std::chrono::milliseconds limit);
+
+    /// Returns the calls of the platform so far. Thread-safe.
+    std::uint64_t platformCalls() const { return client_.callCount(); }
+
+private:
+    struct Suspicion
+    {
+        std::string name;
+        Model::Incarnation incarnation{};
+    };
+
+    void run();
+    void carryOut(const AnnouncementStep &step);
+    void writeSuspicion(const Suspicion &suspicion);
+    void notice();
+
+    Platform::HttpObjectClient client_;
+    Noticed noticed_;
+
+    std::mutex mutex_; ///< guards what follows
+    std::condition_variable wake_;
+    std::condition_variable settled_;
+    AnnouncementKeeper keeper_;
+    std::deque<Suspicion> suspicions_;
+    bool stopping_ = false;
+    bool noticedDrain_ = false;
+    bool noticedReplacement_ = false;
+
+    std::thread thread_;
+};
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/watcher.cpp
@@ -0,0 +1,144 @@
+#include "control/watcher.h"
+
+#include "observability/log.h"
+#include "platform/attempt.h"
+
+#include <algorithm>
+
+namespace Control {
+
+using Observability::Level;
+using Observability::log;
+using Platform::attempt;
+
+static constexpr std::chrono::milliseconds CallTimeout{2000};
+
+Watcher::Watcher(const Model::Endpoint &platform, std::vector<Model::Endpoint> peers,
+                 std::uint64_t seed, Changed changed)
+    : peers_(std::move(peers))
+    , changed_(std::move(changed))
+    , client_(platform, CallTimeout)
+    , policy_(peers_.size(), seed)
+    , lastAnswer_(std::chrono::steady_clock::now())
+    , thread_([this] { run(); })
+{}
+
+Watcher::~Watcher()
+{
+    {
+        const std::lock_guard guard(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    client_.abort();
+    thread_.join();
+}
+
+Platform::Listing Watcher::snapshot() const
+{
+    const std::lock_guard guard(mutex_);
+    return view_.snapshot();
+}
+
+std::shared_ptr<const Routing::RoutingTable> Watcher::table() const
+{
+    const std::lock_guard guard(mutex_);
+    return view_.table();
+}
+
+std::chrono::milliseconds Watcher::age() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
+                                                                 - lastAnswer_.load());
+}
+
+void Watcher::hurry()
+{
+    {
+        const std::lock_guard guard(mutex_);
+        hurried_ = true;
+    }
+    wake_.notify_all();
+}
+
+void Watcher::run()
+{
+    while (true) {
+        {
+            const std::lock_guard guard(mutex_);
+            if (stopping_)
+                return;
+        }
+        const WatchStep step = policy_.next();
+        if (std::holds_alternative<ListPlatform>(step))
+            list();
+        else if (const auto *watchStep = std::get_if<WatchPlatform>(&step))
+            watch(watchStep->after);
+        else if (const auto *ask = std::get_if<AskPeer>(&step))
+            askPeer(ask->peer);
+        else if (const auto *wait = std::get_if<Pause>(&step))
+            pause(wait->wait);
+    }
+}
+
+template<typename Update>
+void Watcher::apply(const Update &update)
+{
+    noteAnswer();
+    bool changed = false;
+    {
+        const std::lock_guard guard(mutex_);
+        changed = view_.apply(update);
+    }
+    // Only this thread changes the view, so it may be read without the lock here.
+    if (changed)
+        changed_(view_);
+}
+
+void Watcher::list()
+{
+    const auto listing = attempt([this] { return client_.list(""); });
+    if (const auto *failure = std::get_if<Platform::FailureKind>(&listing))
+        return fail(*failure);
+    const auto &content = std::get<Platform::Listing>(listing);
+    apply(content);
+    policy_.onListed(content.revision);
+}
+
+void Watcher::watch(Platform::Revision after)
+{
+    const auto changes = attempt([&] { return client_.watch("", after, WatchWait); });
+    if (const auto *failure = std::get_if<Platform::FailureKind>(&changes))
+        return fail(*failure);
+    const auto &content = std::get<Platform::Changes>(changes);
+    apply(content);
+    policy_.onWatched(content.revision);
+}
+
+void Watcher::askPeer(std::size_t index)
+{
+    Platform::HttpObjectClient peer(peers_[index], CallTimeout);
+    const auto listing = attempt([&] { return peer.list("", "/snapshot"); });
+    if (const auto *content = std::get_if<Platform::Listing>(&listing))
+        apply(*content);
+}
+
+void Watcher::pause(std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, wait, [this] { return stopping_ || hurried_; });
+    hurried_ = false;
+}
+
+void Watcher::fail(Platform::FailureKind kind)
+{
+    log(Level::Warning, "platform-call-failed", {{"kind", Platform::failureText(kind)}});
+    policy_.onFailed(kind);
+}
+
+void Watcher::noteAnswer()
+{
+    lastAnswer_ = std::chrono::steady_clock::now();
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/watcher.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "control/clusterview.h"
+#include "control/watchpolicy.h"
+#include "platform/httpobjectclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Control {
+
+/// The control thread of a process: keeps a ClusterView up to date with blocking calls.
+class Watcher
+{
+public:
+    /// Called on the control thread after each change.
+    using Changed = std::function<void(const ClusterView &)>;
+
+    /// Begins to watch \a platform. While it is down, asks the admin endpoints of \a peers.
+    Watcher(const Model::Endpoint &platform, std::vector<Model::Endpoint> peers,
+            std::uint64_t seed, Changed changed);
+
+    /// Ends the thread, and a call in progress.
+    ~Watcher();
+    Watcher(const Watcher &) = delete;
+    Watcher &operator=(const Watcher &) = delete;
+
+    /// Returns the view's snapshot. Thread-safe.
+    Platform::Listing snapshot() const;
+
+    /// Returns the table. Thread-safe.
+    std::shared_ptr<const Routing::RoutingTable> table() const;
+
+    /// Returns how long ago the platform or a peer last answered. Thread-safe.
+    std::chrono::milliseconds age() const;
+
+    /// Returns the calls of the platform so far. Thread-safe.
+    std::uint64_t platformCalls() const { return client_.callCount(); }
+
+    /// Ends a pause early, since a newer configuration is known to exist. Thread-safe.
+    void hurry();
+
+private:
+    void run();
+    void list();
+    void watch(Platform::Revision after);
+    void askPeer(std::size_t index);
+    void pause(std::chrono::milliseconds wait);
+    void fail(Platform::FailureKind kind);
+    void noteAnswer();
+
+    template<typename Update>
+    void apply(const Update &update);
+
+    std::vector<Model::Endpoint> peers_;
+    Changed changed_;
+    Platform::HttpObjectClient client_;
+    WatchPolicy policy_;
+
+    mutable std::mutex mutex_; ///< guards view_ and the pause
+    ClusterView view_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+    bool hurried_ = false;
+    std::atomic<std::chrono::steady_clock::time_point> lastAnswer_;
+    std::thread thread_;
+};
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/watchpolicy.cpp
@@ -0,0 +1,58 @@
+#include "control/watchpolicy.h"
+
+namespace Control {
+
+static constexpr std::chrono::milliseconds FirstPause{200};
+
+WatchPolicy::WatchPolicy(std::size_t peerCount, std::uint64_t seed)
+    : backoff_(FirstPause, LongestPlatformPause, seed)
+    , peerCount_(peerCount)
+    , nextPeer_(peerCount > 0 ? std::size_t(seed % peerCount) : 0)
+{}
+
+WatchStep WatchPolicy::next()
+{
+    switch (state_) {
+    case State::Listing:
+        return ListPlatform{};
+    case State::Watching:
+        return WatchPlatform{revision_};
+    case State::AskingPeer:
+        state_ = State::Pausing;
+        return AskPeer{nextPeer_++ % peerCount_};
+    case State::Pausing:
+        state_ = afterPause_;
+        return Pause{pause_};
+    }
+    return ListPlatform{};
+}
+
+void WatchPolicy::onListed(Platform::Revision revision)
+{
+    revision_ = revision;
+    hasListed_ = true;
+    state_ = State::Watching;
+    backoff_.onSuccess();
+}
+
+void WatchPolicy::onWatched(Platform::Revision revision)
+{
+    // A platform that answers with an older revision lost its place; only a listing tells.
+    if (revision < revision_) {
+        state_ = State::Listing;
+        return;
+    }
+    revision_ = revision;
+    state_ = State::Watching;
+    backoff_.onSuccess();
+}
+
+void WatchPolicy::onFailed(Platform::FailureKind kind)
+{
+    pause_ = backoff_.onFailure();
+    const bool mayWatchOn = hasListed_ && kind != Platform::FailureKind::TooOld;
+    afterPause_ = mayWatchOn ? State::Watching : State::Listing;
+    state_ = peerCount_ > 0 ? State::AskingPeer : State::Pausing;
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/watchpolicy.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "platform/backoff.h"
+#include "platform/objectclient.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <variant>
+
+namespace Control {
+
+/// How long one watch waits on the platform.
+constexpr std::chrono::seconds WatchWait{25};
+
+/// How long a platform that is down may stay unasked.
+constexpr std::chrono::milliseconds LongestPlatformPause{4000};
+
+/// List everything on the platform.
+struct ListPlatform
+{};
+
+/// Watch the platform for changes after \c after.
+struct WatchPlatform
+{
+    Platform::Revision after;
+};
+
+/// Ask the peer with this index for its snapshot.
+struct AskPeer
+{
+    std::size_t peer;
+};
+
+/// Wait before the next step.
+struct Pause
+{
+    std::chrono::milliseconds wait;
+};
+
+using WatchStep = std::variant<ListPlatform, WatchPlatform, AskPeer, Pause>;
+
+/// Decides how a process keeps up with the platform: list once, then watch; after failures back
+/// off, and ask peers in between. Without sockets, threads or clocks; not thread-safe.
+class WatchPolicy
+{
+public:
+    /// \a peerCount peers may be asked while the platform is down; \a seed spreads the pauses.
+    WatchPolicy(std::size_t peerCount, std::uint64_t seed);
+
+    /// Returns what to do next.
+    WatchStep next();
+
+    /// Notes that a listing of the platform arrived.
+    void onListed(Platform::Revision revision);
+
+    /// Notes that a watch ended, with or without changes.
+    void onWatched(Platform::Revision revision);
+
+    /// Notes that a call of the platform failed.
+    void onFailed(Platform::FailureKind kind);
+
+    /// Whether the last call of the platform succeeded.
+    bool isInStep() const { return state_ == State::Watching; }
+
+private:
+    enum class State { Listing, Watching, AskingPeer, Pausing };
+
+    Platform::Backoff backoff_;
+    State state_ = State::Listing;
+    State afterPause_ = State::Listing;
+    Platform::Revision revision_{};
+    bool hasListed_ = false;
+    std::size_t peerCount_;
+    std::size_t nextPeer_;
+    std::chrono::milliseconds pause_{0};
+};
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/flows/flowdirector.cpp
@@ -0,0 +1,276 @@
+#include "flows/flowdirector.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Flows {
+
+const char *dropCauseText(DropCause cause)
+{
+    switch (cause) {
+    case DropCause::OtherService:
+        return "other-service";
+    case DropCause::OtherInstance:
+        return "other-instance";
+    case DropCause::TooManyPasses:
+        return "too-many-passes";
+    case DropCause::NoOwner:
+        return "no-owner";
+    case DropCause::NoRoom:
+        return "no-room";
+    case DropCause::FlowMoving:
+        return "flow-moving";
+    }
+    return "unknown";
+}
+
+static Decision drop(DropCause cause)
+{
+    return {Drop{cause}, std::nullopt, false};
+}
+
+/// Sends the packet to the next hop of its chain, or drops it at the end for \a endCause.
+static Decision passToNext(Tunnel::PacketHeader header, DropCause endCause)
+{
+    if (std::size_t(header.position) + 1 >= header.chain.size())
+        return drop(endCause);
+    if (header.passes >= MaxPasses)
+        return drop(DropCause::TooManyPasses);
+    ++header.position;
+    ++header.passes;
+    return {PassOn{header}, std::nullopt, false};
+}
+
+static Decision passToOwner(Tunnel::PacketHeader header, const Routing::Hop &owner)
+{
+    if (header.passes >= MaxPasses)
+        return drop(DropCause::TooManyPasses);
+    header.chain = {};
+    header.chain.append(owner);
+    header.position = 0;
+    ++header.passes;
+    return {PassOn{header}, std::nullopt, false};
+}
+
+FlowDirector::FlowDirector(Routing::Hop self, Model::ServiceId service)
+    : self_(self)
+    , service_(service)
+{}
+
+Decision FlowDirector::onPacket(TimePoint now, Model::ServiceId service,
+                                const Tunnel::PacketHeader &header,
+                                const Tunnel::TcpPacket &packet, const Room &room)
+{
+    const Routing::Hop &receiver = header.chain[header.position];
+    if (service != service_)
+        return drop(DropCause::OtherService);
+    if (receiver.instance != self_.instance)
+        return drop(DropCause::OtherInstance);
+
+    const bool isThisIncarnation = receiver.incarnation == self_.incarnation;
+    if (isThisIncarnation) {
+        if (auto decision = onOwnedFlow(now, header, packet))
+            return *decision;
+    }
+    // A SYN does not follow a redirect: it may open the next flow under the same key. Where it is
+    // only a late copy, the ACK tells which of the answering agents owns the flow.
+    if (packet.opensFlow())
+        return onNewFlow(now, header, packet, room, isThisIncarnation);
+
+    if (auto redirect = redirects_.find(packet.flow); redirect != redirects_.end()) {
+        redirect->second.lastUse = now;
+        return passToOwner(header, redirect->second.owner);
+    }
+    return passToNext(header, DropCause::NoOwner);
+}
+
+std::optional<Decision> FlowDirector::onOwnedFlow(TimePoint now,
+                                                  const Tunnel::PacketHeader &header,
+                                                  const Tunnel::TcpPacket &packet)
+{
+    const auto entry = flows_.find(packet.flow);
+    if (entry == flows_.end())
+        return std::nullopt;
+    Flow &flow = entry->second;
+    switch (flow.phase) {
+    case Phase::Established:
+        return Decision{Deliver{}, noticeFor(now, header, packet.flow, flow), false};
+    case Phase::Moving:
+        return drop(DropCause::FlowMoving);
+    case Phase::Closed:
+        if (packet.opensFlow())
+            return std::nullopt;
+        return Decision{Deliver{}, std::nullopt, false};
+    case Phase::HalfOpen:
+        break;
+    }
+
+    if (packet.opensFlow())
+        return Decision{Deliver{}, std::nullopt, false};
+    const bool matches = flow.initialSequence && packet.ack
+        && packet.acknowledgement == *flow.initialSequence + 1;
+    // The packet belongs to a flow that another agent opened under the same key.
+    if (!matches)
+        return std::nullopt;
+    if (packet.rst) {
+        forget(entry);
+        return Decision{Drop{DropCause::NoOwner}, std::nullopt, true};
+    }
+    flow.phase = Phase::Established;
+    redirects_.erase(packet.flow);
+    return Decision{Deliver{}, noticeFor(now, header, packet.flow, flow), false};
+}
+
+Decision FlowDirector::onNewFlow(TimePoint now, const Tunnel::PacketHeader &header,
+                                 const Tunnel::TcpPacket &packet, const Room &room,
+                                 bool isThisIncarnation)
+{
+    const bool isLast = std::size_t(header.position) + 1 >= header.chain.size();
+    const bool takes = isThisIncarnation && room.isReady && room.hasRoom
+        && (room.hasSpare || isLast);
+    if (!takes)
+        return passToNext(header, DropCause::NoRoom);
+
+    bool forgetsEarlierFlow = false;
+    if (const auto earlier = flows_.find(packet.flow); earlier != flows_.end()) {
+        forget(earlier);
+        forgetsEarlierFlow = true;
+    }
+    flows_[packet.flow] = {Phase::HalfOpen, std::nullopt, now, TimePoint()};
+    ++openCount_;
+    return {Deliver{}, std::nullopt, forgetsEarlierFlow};
+}
+
+std::optional<TellOwnership> FlowDirector::noticeFor(TimePoint now,
+                                                     const Tunnel::PacketHeader &header,
+                                                     const Model::FlowKey &key, Flow &flow)
+{
+    const Routing::Hop &first = header.chain[0];
+    if (header.position == 0 || first.instance == self_.instance)
+        return std::nullopt;
+    if (flow.lastNotice != TimePoint() && now - flow.lastNotice < NoticeInterval)
+        return std::nullopt;
+    flow.lastNotice = now;
+    return TellOwnership{first, key};
+}
+
+void FlowDirector::forget(Flows::iterator flow)
+{
+    if (flow->second.phase != Phase::Closed)
+        --openCount_;
+    flows_.erase(flow);
+}
+
+void FlowDirector::onSynAnswered(const Model::FlowKey &flow, std::uint32_t initialSequence)
+{
+    if (auto entry = flows_.find(flow); entry != flows_.end())
+        entry->second.initialSequence = initialSequence;
+}
+
+void FlowDirector::onClosed(TimePoint now, const Model::FlowKey &flow)
+{
+    const auto entry = flows_.find(flow);
+    if (entry == flows_.end() || entry->second.phase == Phase::Closed)
+        return;
+    entry->second.phase = Phase::Closed;
+    entry->second.since = now;
+    --openCount_;
+}
+
+void FlowDirector::onRedirects(TimePoint now, const Routing::Hop &owner,
+                               const std::vector<Model::FlowKey> &flows)
+{
+    if (owner.instance == self_.instance)
+        return;
+    for (const Model::FlowKey &key : flows) {
+        if (!owns(key))
+            redirects_[key] = {owner, now};
+    }
+}
+
+void FlowDirector::beginMove(const Model::FlowKey &flow)
+{
+    if (auto entry = flows_.find(flow); entry != flows_.end())
+        entry->second.phase = Phase::Moving;
+}
+
+void FlowDirector::cancelMove(const Model::FlowKey &flow)
+{
+    if (auto entry = flows_.find(flow); entry != flows_.end())
+        entry->second.phase = Phase::Established;
+}
+
+void FlowDirector::completeMove(TimePoint now, const Model::FlowKey &flow,
+                                const Routing::Hop &owner)
+{
+    if (auto entry = flows_.find(flow); entry != flows_.end())
+        forget(entry);
+    redirects_[flow] = {owner, now};
+}
+
+void FlowDirector::adopt(TimePoint now, const Model::FlowKey &flow)
+{
+    if (auto entry = flows_.find(flow); entry != flows_.end())
+        forget(entry);
+    redirects_.erase(flow);
+    flows_[flow] = {Phase::Established, std::nullopt, now, TimePoint()};
+    ++openCount_;
+}
+
+std::vector<Model::FlowKey> FlowDirector::expire(TimePoint now)
+{
+    std::vector<Model::FlowKey> halfOpen;
+    std::erase_if(flows_, [&](const auto &entry) {
+        const auto &[key, flow] = entry;
+        if (flow.phase == Phase::Closed)
+            return now - flow.since >= ClosedLinger;
+        if (flow.phase != Phase::HalfOpen || now - flow.since < HalfOpenTimeout)
+            return false;
+        halfOpen.push_back(key);
+        --openCount_;
+        return true;
+    });
+    std::erase_if(redirects_, [now](const auto &entry) {
+        return now - entry.second.lastUse >= RedirectLifetime;
+    });
+    return halfOpen;
+}
+
+std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>> FlowDirector::ownershipNotices(
+    const Routing::ServiceTable &table) const
+{
+    std::map<Model::InstanceId, std::pair<Routing::Hop, std::vector<Model::FlowKey>>> byReceiver;
+    for (const auto &[key, flow] : flows_) {
+        if (flow.phase != Phase::Established)
+            continue;
+        const auto chain = table.chainFor(Model::flowHash(key), Routing::PacketKind::OfFlow);
+        if (chain.isEmpty() || chain[0].instance == self_.instance)
+            continue;
+        auto &[receiver, flows] = byReceiver[chain[0].instance];
+        receiver = chain[0];
+        flows.push_back(key);
+    }
+    std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>> notices;
+    for (auto &[id, notice] : byReceiver)
+        notices.push_back(std::move(notice));
+    return notices;
+}
+
+bool FlowDirector::owns(const Model::FlowKey &flow) const
+{
+    const auto entry = flows_.find(flow);
+    return entry != flows_.end()
+        && (entry->second.phase == Phase::Established || entry->second.phase == Phase::Moving);
+}
+
+std::vector<Model::FlowKey> FlowDirector::ownedFlows() const
+{
+    std::vector<Model::FlowKey> owned;
+    for (const auto &[key, flow] : flows_) {
+        if (flow.phase == Phase::Established)
+            owned.push_back(key);
+    }
+    return owned;
+}
+
+} // namespace Flows
--- /dev/null
+++ b/src/libs/flows/flowdirector.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "routing/routingtable.h"
+#include "tunnel/datagram.h"
+#include "tunnel/tcppacket.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+/// Decides, on an agent, who owns a flow. Without sockets, threads or clocks.
+namespace Flows {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// How long an answered SYN may wait for its ACK.
+constexpr std::chrono::seconds HalfOpenTimeout{8};
+
+/// How long a closed flow's last packets are still taken.
+constexpr std::chrono::seconds ClosedLinger{30};
+
+/// How long an unused redirect is kept.
+constexpr std::chrono::minutes RedirectLifetime{5};
+
+/// Shortest time between two notices about one flow to its first-ranked agent.
+constexpr std::chrono::seconds NoticeInterval{1};
+
+/// How often agents may pass a packet on before it counts as going in circles.
+constexpr std::uint8_t MaxPasses = 8;
+
+enum class DropCause {
+    OtherService,  ///< the packet is meant for another service
+    OtherInstance, ///< the packet is meant for another instance
+    TooManyPasses, ///< the packet goes in circles
+    NoOwner,       ///< the end of the chain, and nobody owned the flow
+    NoRoom,        ///< a new flow that no instance of the chain could take
+    FlowMoving,    ///< the flow is on its way to another agent; the caller sends again
+};
+
+constexpr std::size_t DropCauseCount = 6;
+
+/// Returns the name of \a cause in metrics and dumps. Thread-safe.
+const char *dropCauseText(DropCause cause);
+
+/// The packet is for this agent's TCP stack.
+struct Deliver
+{};
+
+/// The packet goes to the hop at \c header.position of its chain.
+struct PassOn
+{
+    Tunnel::PacketHeader header;
+};
+
+struct Drop
+{
+    DropCause cause;
+};
+
+/// \c receiver is to learn that this agent owns the flow.
+struct TellOwnership
+{
+    Routing::Hop receiver;
+    Model::FlowKey flow;
+};
+
+struct Decision
+{
+    std::variant<Deliver, PassOn, Drop> verdict;
+    std::optional<TellOwnership> notice;
+    bool forgetsEarlierFlow = false; ///< the stack drops what it holds under this key, silently
+};
+
+/// What the agent's own counts say of a new flow.
+struct Room
+{
+    bool isReady = false;  ///< neither draining nor stopped
+    bool hasSpare = false; ///< a slot is free and nothing waits
+    bool hasRoom = false;  ///< below the limit of connections
+};
+
+/// Flow ownership of one agent. Not thread-safe: one traffic thread drives it.
+class FlowDirector
+{
+public:
+    /// \a self names this agent in chains of \a service.
+    FlowDirector(Routing::Hop self, Model::ServiceId service);
+
+    /// Decides on \a packet that arrived under \a header for \a service.
+    Decision onPacket(TimePoint now, Model::ServiceId service, const Tunnel::PacketHeader &header,
+                      const Tunnel::TcpPacket &packet, const Room &room);
+
+    /// Notes the first sequence number that the stack chose in answer to a SYN.
+    void onSynAnswered(const Model::FlowKey &flow, std::uint32_t initialSequence);
+
+    /// Notes that the stack closed \a flow.
+    void onClosed(TimePoint now, const Model::FlowKey &flow);
+
+    /// Notes that \a owner says it owns \a flows.
+    void onRedirects(TimePoint now, const Routing::Hop &owner,
+                     const std::vector<Model::FlowKey> &flows);
+
+    /// Holds back the packets of an owned flow while it is moved.
+    void beginMove(const Model::FlowKey &flow);
+
+    /// Ends a move that the receiver refused; the flow is owned here as before.
+    void cancelMove(const Model::FlowKey &flow);
+
+    /// Ends a move; packets of \a flow go to \a owner from now on.
+    void completeMove(TimePoint now, const Model::FlowKey &flow, const Routing::Hop &owner);
+
+    /// Takes over a flow that another agent moved here.
+    void adopt(TimePoint now, const Model::FlowKey &flow);
+
+    /// Drops what is over; returns half-open flows for the stack to forget silently.
+    std::vector<Model::FlowKey> expire(TimePoint now);
+
+    /// Returns, per first-ranked agent in \a table, the owned flows that it is to learn of.
+    std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>> ownershipNotices(
+        const Routing::ServiceTable &table) const;
+
+    /// Whether \a flow is established here.
+    bool owns(const Model::FlowKey &flow) const;
+
+    /// Returns the established flows, in no order.
+    std::vector<Model::FlowKey> ownedFlows() const;
+
+    /// Returns the flows that count against the limit of connections.
+    std::size_t openCount() const { return openCount_; }
+    std::size_t redirectCount() const { return redirects_.size(); }
+
+private:
+    enum class Phase { HalfOpen, Established, Moving, Closed };
+
+    struct Flow
+    {
+        Phase phase = Phase::HalfOpen;
+        std::optional<std::uint32_t> initialSequence;
+        TimePoint since;
+        TimePoint lastNotice;
+    };
+
+    struct Redirect
+    {
+        Routing::Hop owner;
+        TimePoint lastUse;
+    };
+
+    using Flows = std::unordered_map<Model::FlowKey, Flow>;
+
+    std::optional<Decision> onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
+                                        const Tunnel::TcpPacket &packet);
+    Decision onNewFlow(TimePoint now, const Tunnel::PacketHeader &header,
+                       const Tunnel::TcpPacket &packet, const Room &room, bool isThisIncarnation);
+    std::optional<TellOwnership> noticeFor(TimePoint now, const Tunnel::PacketHeader &header,
+                                           const Model::FlowKey &key, Flow &flow);
+    void forget(Flows::iterator flow);
+
+    Routing::Hop self_;
+    Model::ServiceId service_;
+    Flows flows_;
+    std::unordered_map<Model::FlowKey, Redirect> redirects_;
+    std::size_t openCount_ = 0;
+};
+
+} // namespace Flows
--- /dev/null
+++ b/src/libs/membership/instanceregistry.cpp
@@ -0,0 +1,78 @@
+#include "membership/instanceregistry.h"
+
+#include "membership/announcement.h"
+
+#include <set>
+
+namespace Membership {
+
+bool InstanceRegistry::set(const std::string &key, Platform::Version version,
+                           const std::optional<std::string> &value)
+{
+    Entry &entry = entries_[key];
+    if (version <= entry.version)
+        return false;
+    std::optional<Model::Instance> instance;
+    if (value) {
+        instance = decodeAnnouncement(*value);
+        if (!instance || instanceKey(instance->name) != key) {
+            // A newer form of the object must not take the instance out of service.
+            ++malformed_;
+            return false;
+        }
+    }
+    const bool changed = entry.instance != instance;
+    entry = {version, std::move(instance)};
+    return changed;
+}
+
+bool InstanceRegistry::apply(const Platform::Change &change)
+{
+    if (!change.key.starts_with(InstancePrefix))
+        return false;
+    return set(change.key, change.version, change.value);
+}
+
+bool InstanceRegistry::apply(const Platform::Listing &listing)
+{
+    bool changed = false;
+    std::set<std::string> listed;
+    for (const Platform::Object &object : listing.objects) {
+        if (!object.key.starts_with(InstancePrefix))
+            continue;
+        listed.insert(object.key);
+        changed |= set(object.key, object.version, object.value);
+    }
+    for (auto &[key, entry] : entries_) {
+        const bool isNewer = std::uint64_t(entry.version) > std::uint64_t(listing.revision);
+        if (listed.contains(key) || isNewer || !entry.instance)
+            continue;
+        entry.instance.reset();
+        changed = true;
+    }
+    return changed;
+}
+
+std::vector<Model::Instance> InstanceRegistry::instances() const
+{
+    std::vector<Model::Instance> announced;
+    for (const auto &[key, entry] : entries_) {
+        if (entry.instance)
+            announced.push_back(*entry.instance);
+    }
+    return announced;
+}
+
+std::optional<Model::Instance> InstanceRegistry::find(const std::string &name) const
+{
+    const auto entry = entries_.find(instanceKey(name));
+    return entry == entries_.end() ? std::nullopt : entry->second.instance;
+}
+
+Platform::Version InstanceRegistry::versionOf(const std::string &name) const
+{
+    const auto entry = entries_.find(instanceKey(name));
+    return entry == entries_.end() ? Platform::Version{} : entry->second.version;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/pausedetector.cpp
@@ -0,0 +1,21 @@
+#include "membership/pausedetector.h"
+
+namespace Membership {
+
+void PauseDetector::onRunning(TimePoint now)
+{
+    if (hasRun_ && now - lastRun_ > TrustedPause) {
+        inDoubt_ = true;
+        doubtSince_ = now;
+    }
+    hasRun_ = true;
+    lastRun_ = now;
+}
+
+void PauseDetector::onConfirmed(TimePoint asked)
+{
+    if (asked >= doubtSince_)
+        inDoubt_ = false;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/prober.cpp
@@ -0,0 +1,124 @@
+#include "membership/prober.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+
+namespace Membership {
+
+static constexpr std::chrono::seconds RelayLifetime{5};
+
+static Routing::Hop hopOf(const Model::Instance &instance)
+{
+    return {Model::instanceId(instance.name), instance.incarnation, instance.tunnel};
+}
+
+Prober::Prober(Routing::Hop self, std::uint64_t seed)
+    : self_(self)
+    , nextSequence_(seed << 20)
+    , random_(seed)
+{}
+
+void Prober::setPeers(std::vector<Model::Instance> peers)
+{
+    pcg64 random(random_);
+    std::shuffle(peers.begin(), peers.end(), random);
+    random_ = random();
+    peers_ = std::move(peers);
+    nextPeer_ = 0;
+    std::erase_if(failedRounds_, [this](const auto &entry) {
+        return std::none_of(peers_.begin(), peers_.end(), [&](const Model::Instance &peer) {
+            return Model::instanceId(peer.name) == entry.first;
+        });
+    });
+}
+
+std::vector<ProberAction> Prober::tick(TimePoint now)
+{
+    std::vector<ProberAction> actions;
+    std::erase_if(relays_,
+                  [now](const auto &entry) { return now - entry.second.since > RelayLifetime; });
+    if (round_) {
+        const auto elapsed = now - round_->start;
+        if (!round_->askedOthers && elapsed >= DirectTimeout)
+            askOthers(actions);
+        else if (elapsed >= DirectTimeout + IndirectTimeout)
+            endFailedRound(actions);
+    }
+    if (!round_ && now >= nextRound_)
+        startRound(now, actions);
+    return actions;
+}
+
+void Prober::startRound(TimePoint now, std::vector<ProberAction> &actions)
+{
+    nextRound_ = now + ProbeInterval;
+    if (peers_.empty())
+        return;
+    nextPeer_ %= peers_.size();
+    const Model::Instance &target = peers_[nextPeer_++];
+    round_ = Round{++nextSequence_, target, now, false};
+    const Routing::Hop receiver = hopOf(target);
+    actions.push_back(SendProbe{receiver, {round_->sequence, self_, receiver}});
+}
+
+void Prober::askOthers(std::vector<ProberAction> &actions)
+{
+    round_->askedOthers = true;
+    const Routing::Hop target = hopOf(round_->target);
+    std::size_t asked = 0;
+    for (std::size_t step = 0; step < peers_.size() && asked < IndirectProbes; ++step) {
+        const Model::Instance &helper = peers_[(nextPeer_ + step) % peers_.size()];
+        if (helper.name == round_->target.name || helper.state == Model::InstanceState::Suspect)
+            continue;
+        actions.push_back(SendProbe{hopOf(helper), {round_->sequence, self_, target}});
+        ++asked;
+    }
+}
+
+void Prober::endFailedRound(std::vector<ProberAction> &actions)
+{
+    const Model::Instance target = round_->target;
+    round_.reset();
+    int &failed = failedRounds_[Model::instanceId(target.name)];
+    ++failed;
+    if (failed >= FailedRoundsUntilSuspect && target.state != Model::InstanceState::Suspect)
+        actions.push_back(SuspectPeer{target.name, target.incarnation});
+}
+
+Model::Incarnation Prober::knownIncarnation(Model::InstanceId instance) const
+{
+    for (const Model::Instance &peer : peers_) {
+        if (Model::instanceId(peer.name) == instance)
+            return peer.incarnation;
+    }
+    return {};
+}
+
+std::vector<ProberAction> Prober::onProbe(TimePoint now, const Tunnel::Probe &probe)
+{
+    if (probe.target.instance == self_.instance)
+        return {SendAnswer{probe.sender,
+                           {probe.sequence, self_, knownIncarnation(probe.sender.instance)}}};
+    const std::uint64_t sequence = ++nextSequence_;
+    relays_[sequence] = {probe.sender, probe.sequence, now};
+    return {SendProbe{probe.target, {sequence, self_, probe.target}}};
+}
+
+std::vector<ProberAction> Prober::onAnswer(const Tunnel::ProbeAnswer &answer)
+{
+    if (const auto relay = relays_.find(answer.sequence); relay != relays_.end()) {
+        const Relay asked = relay->second;
+        relays_.erase(relay);
+        return {SendAnswer{asked.asker, {asked.sequence, answer.target, answer.asker}}};
+    }
+    if (round_ && round_->sequence == answer.sequence) {
+        failedRounds_.erase(answer.target.instance);
+        if (answer.asker == self_.incarnation)
+            lastConfirmed_ = round_->start;
+        round_.reset();
+    }
+    return {};
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/observability/adminserver.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "model/endpoint.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <prometheus/collectable.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Observability {
+
+/// HTTP server of one process: /metrics for Prometheus, /state for a dump of its state,
+/// /snapshot for peers that start during an outage.
+class AdminServer
+{
+public:
+    /// Returns the content of a page as JSON. Called on the server's threads.
+    using Page = std::function<nlohmann::json()>;
+
+    /// Starts to serve at \a endpoint. Throws Poco::Exception if it can't be bound.
+    AdminServer(const Model::Endpoint &endpoint, std::shared_ptr<prometheus::Collectable> metrics,
+                Page state, Page snapshot);
+    ~AdminServer();
+    AdminServer(const AdminServer &) = delete;
+    AdminServer &operator=(const AdminServer &) = delete;
+
+private:
+    class Server;
+    std::unique_ptr<Server> server_;
+};
+
+} // namespace Observability
--- /dev/null
+++ b/src/libs/operations/acceptance.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "configuration/configurationcodec.h"
+#include "membership/announcement.h"
+#include "platform/conditionalwrite.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+/// What operators do through the platform.
+namespace Operations {
+
+/// How an acceptance ended.
+enum class Acceptance {
+    InForce,     ///< the platform keeps the configuration under the new generation
+    Conflict,    ///< another operator was first; nothing was changed
+    Unknown,     ///< the platform did not say; look again before trying anew
+    Unavailable, ///< the platform did not answer; nothing was changed
+    Malformed,   ///< the platform's configuration can't be read; nothing was changed
+};
+
+struct AcceptanceResult
+{
+    Acceptance acceptance = Acceptance::Unavailable;
+    Model::Generation generation{}; ///< after InForce
+};
+
+/// Change ids that a configuration remembers, for operators who look for their own.
+constexpr std::size_t MaxRecentChanges = 16;
+
+/// Reads the configuration that \a object holds; nothing if it can't be read.
+std::optional<Model::Configuration> configurationOf(const Platform::Object &object);
+
+/// Puts \a candidate in force as the generation after the current one.
+///
+/// \a expected is the generation that the operator decided on, if any: another one in force is a
+/// conflict. \a changeId names this acceptance. \a pause is called between reads after a lost
+/// answer.
+template<Platform::ObjectClient C>
+AcceptanceResult accept(C &client, Model::Configuration candidate,
+                        std::optional<Model::Generation> expected, const std::string &changeId,
+                        const std::function<void(int)> &pause)
+{
+    const std::string key(Membership::ConfigurationKey);
+    const auto current = Platform::attempt([&] { return client.read(key); });
+    Platform::Precondition precondition = Platform::IfAbsent{};
+    Model::Configuration before;
+    if (const auto *object = std::get_if<Platform::Object>(&current)) {
+        const auto inForce = configurationOf(*object);
+        if (!inForce)
+            return {Acceptance::Malformed, {}};
+        before = *inForce;
+        precondition = Platform::IfVersion{object->version};
+    } else if (std::get<Platform::FailureKind>(current) != Platform::FailureKind::NotFound) {
+        return {Acceptance::Unavailable, {}};
+    }
+    if (expected && *expected != before.generation)
+        return {Acceptance::Conflict, {}};
+
+    candidate.generation = Model::Generation(std::uint64_t(before.generation) + 1);
+    candidate.recentChanges = before.recentChanges;
+    candidate.recentChanges.insert(candidate.recentChanges.begin(), changeId);
+    if (candidate.recentChanges.size() > MaxRecentChanges)
+        candidate.recentChanges.resize(MaxRecentChanges);
+    const auto contains = [&](const std::string &value) {
+        const auto found = configurationOf({key, {}, value});
+        return found
+            && std::find(found->recentChanges.begin(), found->recentChanges.end(), changeId)
+            != found->recentChanges.end();
+    };
+    const auto written = Platform::writeOnce(
+        client, key, Configuration::encodeConfiguration(candidate).dump(), precondition, contains,
+        pause);
+    switch (written.outcome) {
+    case Platform::WriteOutcome::Written:
+        return {Acceptance::InForce, candidate.generation};
+    case Platform::WriteOutcome::Conflict:
+        return {Acceptance::Conflict, {}};
+    case Platform::WriteOutcome::Unknown:
+        return {Acceptance::Unknown, {}};
+    case Platform::WriteOutcome::Failed:
+        break;
+    }
+    return {Acceptance::Unavailable, {}};
+}
+
+} // namespace Operations
--- /dev/null
+++ b/src/libs/platform/attempt.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "platform/objectclient.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <utility>
+#include <variant>
+
+namespace Platform {
+
+/// The value of a call, or why it failed.
+template<typename T>
+using Attempt = std::variant<T, FailureKind>;
+
+/// Makes a call of the platform and turns its failure into a value. Thread-safe if \a call is.
+template<typename F>
+auto attempt(F &&call) -> Attempt<std::decay_t<decltype(call().value())>>
+{
+    using Result = Attempt<std::decay_t<decltype(call().value())>>;
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<Result> {
+            BOOST_LEAF_AUTO(value, call());
+            return Result(std::in_place_index<0>, std::move(value));
+        },
+        [](const Failure &failure) -> Result { return failure.kind; },
+        []() -> Result { return FailureKind::Malformed; });
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/requests/answerjournal.cpp
@@ -0,0 +1,59 @@
+#include "requests/answerjournal.h"
+
+#include <xxhash.h>
+
+namespace Requests {
+
+JournalVerdict AnswerJournal::begin(TimePoint now, const std::string &key,
+                                    std::uint64_t fingerprint)
+{
+    expire(now);
+    if (const auto known = entries_.find(key); known != entries_.end()) {
+        const Entry &entry = known->second;
+        if (entry.fingerprint != fingerprint)
+            return KeyReused{};
+        if (!entry.isOver)
+            return StillRunning{};
+        return AlreadyAnswered{entry.answer};
+    }
+    if (entries_.size() >= MaxJournalEntries)
+        return JournalFull{};
+    entries_[key] = {fingerprint, false, {}, now};
+    order_.emplace_back(now, key);
+    return FirstRequest{};
+}
+
+void AnswerJournal::finish(const std::string &key, std::string answer)
+{
+    const auto known = entries_.find(key);
+    if (known == entries_.end() || answer.size() > MaxKeptAnswerBytes)
+        return;
+    known->second.isOver = true;
+    known->second.answer = std::move(answer);
+}
+
+void AnswerJournal::forget(const std::string &key)
+{
+    entries_.erase(key);
+}
+
+void AnswerJournal::expire(TimePoint now)
+{
+    while (!order_.empty() && now - order_.front().first >= JournalLifetime) {
+        const auto &[since, key] = order_.front();
+        // The key may have been forgotten and taken again since.
+        if (const auto entry = entries_.find(key);
+            entry != entries_.end() && entry->second.since == since)
+            entries_.erase(entry);
+        order_.pop_front();
+    }
+}
+
+std::uint64_t requestFingerprint(const HttpRequest &request)
+{
+    const std::uint64_t head = XXH3_64bits(request.target.data(), request.target.size());
+    const std::uint64_t method = XXH3_64bits(request.method.data(), request.method.size());
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), head ^ (method << 1));
+}
+
+} // namespace Requests
--- /dev/null
+++ b/src/libs/routing/routingtable.cpp
@@ -0,0 +1,228 @@
+#include "routing/routingtable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+
+namespace Routing {
+
+static constexpr std::uint16_t NoInstance = std::numeric_limits<std::uint16_t>::max();
+static constexpr double TwoToThe53 = 9007199254740992.0;
+
+static std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
+/// Score of weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
+static double score(Model::InstanceId instance, double capacity, std::size_t bucket)
+{
+    const std::uint64_t bits = mix(std::uint64_t(instance) ^ mix(bucket + 1));
+    const double uniform = (double(bits >> 11) + 0.5) / TwoToThe53;
+    return -capacity / std::log(uniform);
+}
+
+static std::size_t bucketOf(std::uint64_t flowHash)
+{
+    return flowHash % BucketCount;
+}
+
+static bool sameRank(const Model::Instance &left, const Model::Instance &right)
+{
+    return left.name == right.name && left.capacity == right.capacity;
+}
+
+ServiceTable::ServiceTable(Model::Service service, std::vector<Model::Instance> instances)
+    : service_(std::move(service))
+    , id_(Model::serviceId(service_.name))
+    , instances_(std::move(instances))
+{
+    indexInstances();
+    buckets_.resize(BucketCount);
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket)
+        buckets_[bucket] = rankAll(bucket, false);
+}
+
+ServiceTable::ServiceTable(const ServiceTable &previous, std::vector<Model::Instance> instances)
+    : service_(previous.service_)
+    , id_(previous.id_)
+    , instances_(std::move(instances))
+{
+    indexInstances();
+
+    // Positions of the previous instances in the new list; NoInstance where one left.
+    std::vector<std::uint16_t> moved(previous.instances_.size(), NoInstance);
+    std::vector<bool> known(instances_.size(), false);
+    for (std::size_t before = 0, now = 0; before < moved.size(); ++before) {
+        while (now < instances_.size() && instances_[now].name < previous.instances_[before].name)
+            ++now;
+        if (now == instances_.size() || !sameRank(instances_[now], previous.instances_[before]))
+            continue;
+        moved[before] = std::uint16_t(now);
+        known[now] = true;
+    }
+
+    std::vector<std::uint16_t> arrived;
+    for (std::size_t now = 0; now < instances_.size(); ++now) {
+        if (!known[now])
+            arrived.push_back(std::uint16_t(now));
+    }
+
+    buckets_ = previous.buckets_;
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket) {
+        Rank &rank = buckets_[bucket];
+        bool lostOne = false;
+        for (std::uint16_t &index : rank) {
+            if (index == NoInstance)
+                continue;
+            index = moved[index];
+            lostOne |= index == NoInstance;
+        }
+        if (lostOne) {
+            rank = rankAll(bucket, false);
+            continue;
+        }
+        for (std::uint16_t candidate : arrived) {
+            const double candidateScore
+                = score(ids_[candidate], instances_[candidate].capacity, bucket);
+            for (std::uint16_t &index : rank) {
+                if (index != NoInstance
+                    && score(ids_[index], instances_[index].capacity, bucket) >= candidateScore)
+                    continue;
+                auto *position = &index;
+                std::move_backward(position, rank.data() + rank.size() - 1,
+                                   rank.data() + rank.size());
+                *position = candidate;
+                break;
+            }
+        }
+    }
+}
+
+void ServiceTable::indexInstances()
+{
+    std::erase_if(instances_, [](const auto &instance) { return instance.capacity <= 0; });
+    std::sort(instances_.begin(), instances_.end(),
+              [](const auto &left, const auto &right) { return left.name < right.name; });
+    if (instances_.size() >= NoInstance)
+        instances_.resize(NoInstance - 1);
+    ids_.clear();
+    for (const Model::Instance &instance : instances_)
+        ids_.push_back(Model::instanceId(instance.name));
+}
+
+ServiceTable::Rank ServiceTable::rankAll(std::size_t bucket, bool onlyReady) const
+{
+    Rank rank;
+    rank.fill(NoInstance);
+    std::array<double, MaxChainLength> scores{};
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        const Model::Instance &instance = instances_[index];
+        if (onlyReady && instance.state != Model::InstanceState::Ready)
+            continue;
+        double candidate = score(ids_[index], instance.capacity, bucket);
+        auto candidateIndex = std::uint16_t(index);
+        for (std::size_t place = 0; place < rank.size(); ++place) {
+            if (rank[place] != NoInstance && scores[place] >= candidate)
+                continue;
+            std::swap(scores[place], candidate);
+            std::swap(rank[place], candidateIndex);
+            if (candidateIndex == NoInstance)
+                break;
+        }
+    }
+    return rank;
+}
+
+Hop ServiceTable::hopOf(std::uint16_t index) const
+{
+    const Model::Instance &instance = instances_[index];
+    return {ids_[index], instance.incarnation, instance.tunnel};
+}
+
+Chain ServiceTable::chainFor(std::uint64_t flowHash, PacketKind kind) const
+{
+    const std::size_t bucket = bucketOf(flowHash);
+    const bool onlyReady = kind == PacketKind::OpensFlow;
+    Chain chain;
+    for (std::uint16_t index : buckets_[bucket]) {
+        if (index == NoInstance)
+            break;
+        if (!onlyReady || instances_[index].state == Model::InstanceState::Ready)
+            chain.append(hopOf(index));
+    }
+    if (!chain.isEmpty() || !onlyReady)
+        return chain;
+
+    // Every ranked instance is draining or suspect, as at the end of many rentals.
+    for (std::uint16_t index : rankAll(bucket, true)) {
+        if (index == NoInstance)
+            break;
+        chain.append(hopOf(index));
+    }
+    return chain;
+}
+
+std::size_t ServiceTable::memoryBytes() const
+{
+    return buckets_.size() * sizeof(Rank) + instances_.size() * sizeof(Model::Instance)
+        + ids_.size() * sizeof(Model::InstanceId);
+}
+
+std::shared_ptr<const RoutingTable> RoutingTable::build(
+    const Model::Configuration &configuration, const std::vector<Model::Instance> &instances,
+    const RoutingTable &previous, std::uint64_t version)
+{
+    std::map<std::string, std::vector<Model::Instance>> byService;
+    for (const Model::Instance &instance : instances)
+        byService[instance.service].push_back(instance);
+
+    auto table = std::make_shared<RoutingTable>();
+    table->generation_ = configuration.generation;
+    table->version_ = version;
+    for (const Model::Service &service : configuration.services) {
+        std::vector<Model::Instance> &members = byService[service.name];
+        std::sort(members.begin(), members.end(),
+                  [](const auto &left, const auto &right) { return left.name < right.name; });
+        std::shared_ptr<const ServiceTable> entry;
+        const auto before = previous.byAddress_.find(service.address);
+        if (before == previous.byAddress_.end() || before->second->service() != service)
+            entry = std::make_shared<ServiceTable>(service, std::move(members));
+        else if (before->second->instances() == members)
+            entry = before->second;
+        else
+            entry = std::make_shared<ServiceTable>(*before->second, std::move(members));
+        table->byAddress_.emplace(service.address, std::move(entry));
+    }
+    return table;
+}
+
+const ServiceTable *RoutingTable::find(const Model::Endpoint &address) const
+{
+    const auto entry = byAddress_.find(address);
+    return entry == byAddress_.end() ? nullptr : entry->second.get();
+}
+
+const ServiceTable *RoutingTable::findByName(const std::string &name) const
+{
+    for (const auto &[address, table] : byAddress_) {
+        if (table->service().name == name)
+            return table.get();
+    }
+    return nullptr;
+}
+
+std::size_t RoutingTable::memoryBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[address, table] : byAddress_)
+        bytes += table->memoryBytes();
+    return bytes;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/routingtable.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "model/identity.h"
+#include "model/service.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// Longest chain of agents that one packet may visit.
+constexpr std::size_t MaxChainLength = 4;
+
+/// Hash ranges into which the flows of a service are divided.
+constexpr std::size_t BucketCount = 4096;
+
+/// One agent on the way of a packet.
+struct Hop
+{
+    Model::InstanceId instance{};
+    Model::Incarnation incarnation{};
+    Model::Endpoint tunnel;
+
+    bool operator==(const Hop &) const = default;
+};
+
+/// The agents that a packet visits until one of them owns its flow, best rank first.
+class Chain
+{
+public:
+    /// Precondition: size() < MaxChainLength. Not thread-safe.
+    void append(const Hop &hop) { hops_[size_++] = hop; }
+
+    std::size_t size() const { return size_; }
+    bool isEmpty() const { return size_ == 0; }
+    const Hop *begin() const { return hops_.data(); }
+    const Hop *end() const { return hops_.data() + size_; }
+
+    /// Precondition: \a index < size().
+    const Hop &operator[](std::size_t index) const { return hops_[index]; }
+
+private:
+    std::array<Hop, MaxChainLength> hops_{};
+    std::size_t size_ = 0;
+};
+
+enum class PacketKind {
+    OpensFlow, ///< a SYN; visits only instances that take new flows
+    OfFlow,    ///< anything else; visits draining and suspect instances too
+};
+
+/// The ranking of one service's instances for each bucket of flows.
+///
+/// Weighted rendezvous hashing: an instance that comes or goes changes the rank of no other two.
+/// Immutable once built, so safe to read from every thread.
+class ServiceTable
+{
+public:
+    /// Ranks \a instances, all of one service. Instances with a capacity of 0 or less are left out.
+    ServiceTable(Model::Service service, std::vector<Model::Instance> instances);
+
+    /// Derives the table after a change, ranking anew only the buckets that the change touches.
+    ServiceTable(const ServiceTable &previous, std::vector<Model::Instance> instances);
+
+    const Model::Service &service() const { return service_; }
+    Model::ServiceId id() const { return id_; }
+    const std::vector<Model::Instance> &instances() const { return instances_; }
+
+    /// Returns the chain for a packet of the flow with \a flowHash; empty if none can take it.
+    Chain chainFor(std::uint64_t flowHash, PacketKind kind) const;
+
+    /// Returns the bytes that the ranking holds.
+    std::size_t memoryBytes() const;
+
+private:
+    using Rank = std::array<std::uint16_t, MaxChainLength>;
+
+    void indexInstances();
+    Rank rankAll(std::size_t bucket, bool onlyReady) const;
+    Hop hopOf(std::uint16_t index) const;
+
+    Model::Service service_;
+    Model::ServiceId id_;
+    std::vector<Model::Instance> instances_;
+    std::vector<Model::InstanceId> ids_;
+    std::vector<Rank> buckets_;
+};
+
+/// All services by address; what a balancer consults for each packet.
+///
+/// Immutable; a change makes a new table that shares the tables of untouched services.
+class RoutingTable
+{
+public:
+    RoutingTable() = default;
+
+    /// Builds the table of \a configuration and \a instances, sharing with \a previous what stays.
+    /// Instances of services that the configuration does not name are ignored. Thread-safe.
+    static std::shared_ptr<const RoutingTable> build(const Model::Configuration &configuration,
+                                                     const std::vector<Model::Instance> &instances,
+                                                     const RoutingTable &previous,
+                                                     std::uint64_t version);
+
+    /// Returns the table of the service at \a address, or null. Thread-safe.
+    const ServiceTable *find(const Model::Endpoint &address) const;
+
+    /// Returns the table of the service called \a name, or null. Thread-safe.
+    const ServiceTable *findByName(const std::string &name) const;
+
+    Model::Generation generation() const { return generation_; }
+    std::uint64_t version() const { return version_; }
+    std::size_t serviceCount() const { return byAddress_.size(); }
+
+    /// Returns the bytes that all rankings hold. Thread-safe.
+    std::size_t memoryBytes() const;
+
+private:
+    struct EndpointHash
+    {
+        std::size_t operator()(const Model::Endpoint &endpoint) const noexcept
+        {
+            return (std::size_t(endpoint.address) << 16 | endpoint.port) * 0x9e3779b97f4a7c15ULL;
+        }
+    };
+
+    std::unordered_map<Model::Endpoint, std::shared_ptr<const ServiceTable>, EndpointHash>
+        byAddress_;
+    Model::Generation generation_{};
+    std::uint64_t version_ = 0;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/tunnel/datagram.cpp
@@ -0,0 +1,173 @@
+#include "tunnel/datagram.h"
+
+#include "rpc/datagram.capnp.h"
+
+#include <capnp/serialize.h>
+
+#include <kj/io.h>
+
+namespace Tunnel {
+
+static constexpr std::size_t ScratchWords = 192;
+static constexpr std::size_t MaxDatagramWords = 65536 / sizeof(capnp::word);
+
+static void writeHop(Rpc::Hop::Builder builder, const Routing::Hop &hop)
+{
+    builder.setInstance(std::uint64_t(hop.instance));
+    builder.setIncarnation(std::uint64_t(hop.incarnation));
+    builder.setAddress(hop.tunnel.address);
+    builder.setPort(hop.tunnel.port);
+}
+
+static Routing::Hop readHop(Rpc::Hop::Reader reader)
+{
+    return {Model::InstanceId(reader.getInstance()),
+            Model::Incarnation(reader.getIncarnation()),
+            {reader.getAddress(), reader.getPort()}};
+}
+
+static void write(Rpc::Datagram::Builder root, const PacketHeader &header)
+{
+    auto packet = root.initPacket();
+    auto chain = packet.initChain(unsigned(header.chain.size()));
+    for (unsigned index = 0; index < chain.size(); ++index)
+        writeHop(chain[index], header.chain[index]);
+    packet.setPosition(header.position);
+    packet.setPasses(header.passes);
+    packet.setOpensFlow(header.opensFlow);
+}
+
+static void write(Rpc::Datagram::Builder root, const Redirects &redirects)
+{
+    auto group = root.initRedirects();
+    writeHop(group.initOwner(), redirects.owner);
+    auto flows = group.initFlows(unsigned(redirects.flows.size()));
+    for (unsigned index = 0; index < flows.size(); ++index) {
+        const Model::FlowKey &key = redirects.flows[index];
+        flows[index].setCallerAddress(key.caller.address);
+        flows[index].setCallerPort(key.caller.port);
+        flows[index].setServiceAddress(key.service.address);
+        flows[index].setServicePort(key.service.port);
+    }
+}
+
+static void write(Rpc::Datagram::Builder root, const Probe &probe)
+{
+    auto group = root.initProbe();
+    group.setSequence(probe.sequence);
+    writeHop(group.initSender(), probe.sender);
+    writeHop(group.initTarget(), probe.target);
+}
+
+static void write(Rpc::Datagram::Builder root, const ProbeAnswer &answer)
+{
+    auto group = root.initProbeAnswer();
+    group.setSequence(answer.sequence);
+    writeHop(group.initTarget(), answer.target);
+    group.setAskerIncarnation(std::uint64_t(answer.asker));
+}
+
+std::vector<std::byte> encodeDatagram(const Datagram &datagram)
+{
+    std::vector<std::byte> encoded;
+    encodeDatagram(datagram, encoded);
+    return encoded;
+}
+
+void encodeDatagram(const Datagram &datagram, std::vector<std::byte> &encoded)
+{
+    capnp::word scratch[ScratchWords] = {};
+    capnp::MallocMessageBuilder message(kj::arrayPtr(scratch, ScratchWords));
+    auto root = message.initRoot<Rpc::Datagram>();
+    root.setService(std::uint64_t(datagram.service));
+    root.setGeneration(std::uint64_t(datagram.generation));
+    std::visit([&root](const auto &content) { write(root, content); }, datagram.content);
+
+    encoded.resize(capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word));
+    kj::ArrayOutputStream stream(
+        kj::arrayPtr(reinterpret_cast<kj::byte *>(encoded.data()), encoded.size()));
+    capnp::writeMessage(stream, message);
+}
+
+static std::optional<PacketHeader> readPacketHeader(Rpc::Datagram::Packet::Reader packet)
+{
+    const auto chain = packet.getChain();
+    if (chain.size() == 0 || chain.size() > Routing::MaxChainLength)
+        return std::nullopt;
+    if (packet.getPosition() >= chain.size())
+        return std::nullopt;
+    PacketHeader header;
+    for (const auto hop : chain)
+        header.chain.append(readHop(hop));
+    header.position = packet.getPosition();
+    header.passes = packet.getPasses();
+    header.opensFlow = packet.getOpensFlow();
+    return header;
+}
+
+static Redirects readRedirects(Rpc::Datagram::Redirects::Reader group)
+{
+    Redirects redirects{readHop(group.getOwner()), {}};
+    for (const auto flow : group.getFlows()) {
+        redirects.flows.push_back({{flow.getCallerAddress(), flow.getCallerPort()},
+                                   {flow.getServiceAddress(), flow.getServicePort()}});
+    }
+    return redirects;
+}
+
+static std::optional<Datagram> readDatagram(Rpc::Datagram::Reader root)
+{
+    Datagram datagram{Model::ServiceId(root.getService()),
+                      Model::Generation(root.getGeneration()),
+                      {}};
+    switch (root.which()) {
+    case Rpc::Datagram::PACKET: {
+        auto header = readPacketHeader(root.getPacket());
+        if (!header)
+            return std::nullopt;
+        datagram.content = *header;
+        return datagram;
+    }
+    case Rpc::Datagram::REDIRECTS:
+        datagram.content = readRedirects(root.getRedirects());
+        return datagram;
+    case Rpc::Datagram::PROBE: {
+        const auto probe = root.getProbe();
+        datagram.content
+            = Probe{probe.getSequence(), readHop(probe.getSender()), readHop(probe.getTarget())};
+        return datagram;
+    }
+    case Rpc::Datagram::PROBE_ANSWER: {
+        const auto answer = root.getProbeAnswer();
+        datagram.content = ProbeAnswer{answer.getSequence(), readHop(answer.getTarget()),
+                                       Model::Incarnation(answer.getAskerIncarnation())};
+        return datagram;
+    }
+    }
+    return std::nullopt;
+}
+
+std::optional<ReceivedDatagram> decodeDatagram(Bytes bytes)
+{
+    const std::size_t words = bytes.size() / sizeof(capnp::word);
+    if (words == 0 || words > MaxDatagramWords
+        || reinterpret_cast<std::uintptr_t>(bytes.data()) % alignof(capnp::word) != 0)
+        return std::nullopt;
+    const auto *begin = reinterpret_cast<const capnp::word *>(bytes.data());
+    try {
+        const auto input = kj::arrayPtr(begin, words);
+        if (capnp::expectedSizeInWordsFromPrefix(input) > words)
+            return std::nullopt;
+        capnp::FlatArrayMessageReader message(input);
+        auto datagram = readDatagram(message.getRoot<Rpc::Datagram>());
+        if (!datagram)
+            return std::nullopt;
+        const std::size_t headerBytes
+            = std::size_t(message.getEnd() - begin) * sizeof(capnp::word);
+        return ReceivedDatagram{std::move(*datagram), bytes.subspan(headerBytes)};
+    } catch (const kj::Exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Tunnel
