--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -35,8 +35,8 @@
         std::chrono::system_clock::now().time_since_epoch());
     std::uint64_t incarnation = std::uint64_t(now.count());
     Platform::HttpObjectClient client(process.platform, StartCallTimeout);
-    const auto read = Platform::attempt(
-        [&] { return client.read(Membership::instanceKey(process.name)); });
+    const auto read =
+        Platform::attempt([&] { return client.read(Membership::instanceKey(process.name)); });
     if (const auto *object = std::get_if<Platform::Object>(&read)) {
         if (const auto earlier = Membership::decodeAnnouncement(object->value))
             incarnation = std::max(incarnation, std::uint64_t(earlier->incarnation) + 1);
--- a/src/daemon/balancerprocess.cpp
+++ b/src/daemon/balancerprocess.cpp
@@ -54,10 +54,9 @@
 {
     const Configuration::ProcessSettings &process = settings.process;
     Balancer::Forwarder forwarder(process.tunnel);
-    Control::Watcher watcher(process.platform, process.peers, std::random_device()(),
-                             [&forwarder](const Control::ClusterView &view) {
-                                 forwarder.setTable(view.table());
-                             });
+    Control::Watcher watcher(
+        process.platform, process.peers, std::random_device()(),
+        [&forwarder](const Control::ClusterView &view) { forwarder.setTable(view.table()); });
     const auto state = [&] { return balancerState(process, forwarder, watcher); };
     auto metrics = std::make_shared<ProcessMetrics>(state);
     const Observability::AdminServer admin(process.admin, metrics, state, [&watcher] {
--- a/src/daemon/processmetrics.cpp
+++ b/src/daemon/processmetrics.cpp
@@ -56,8 +56,10 @@
         if (value.is_object())
             collect(value, memberPath, families);
         else if (value.is_number())
-            families.push_back({metricName(memberPath), "As in the state dump.",
-                                MetricType::Gauge, {gauge(value.get<double>())}});
+            families.push_back({metricName(memberPath),
+                                "As in the state dump.",
+                                MetricType::Gauge,
+                                {gauge(value.get<double>())}});
     }
 }
 
--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -43,8 +43,8 @@
     PeerServer::Handlers peerHandlers;
     peerHandlers.offer = [this](Model::InstanceId instance, Model::Incarnation incarnation) {
         return onTrafficThread([&] {
-            return instance == self_.instance && incarnation == self_.incarnation
-                && stack_ && room().isReady && room().hasRoom;
+            return instance == self_.instance && incarnation == self_.incarnation && stack_
+                   && room().isReady && room().hasRoom;
         });
     };
     peerHandlers.take = [this](const FlowTransfer &transfer) {
@@ -170,8 +170,7 @@
                           Tunnel::Bytes packet)
 {
     ++counters_.passedOn;
-    const auto encoded
-        = Tunnel::encodeDatagram({datagram.service, datagram.generation, header});
+    const auto encoded = Tunnel::encodeDatagram({datagram.service, datagram.generation, header});
     Tunnel::sendDatagram(socket_.native_handle(), encoded, packet,
                          header.chain[header.position].tunnel);
 }
@@ -186,8 +185,8 @@
 {
     for (std::size_t first = 0; first < flows.size(); first += Tunnel::MaxFlowsPerRedirects) {
         const std::size_t last = std::min(flows.size(), first + Tunnel::MaxFlowsPerRedirects);
-        Tunnel::Redirects redirects{self_, {flows.begin() + std::ptrdiff_t(first),
-                                            flows.begin() + std::ptrdiff_t(last)}};
+        Tunnel::Redirects redirects{
+            self_, {flows.begin() + std::ptrdiff_t(first), flows.begin() + std::ptrdiff_t(last)}};
         sendControl(receiver.tunnel, {service_, {}, std::move(redirects)});
     }
 }
@@ -290,7 +289,7 @@
     const auto now = std::chrono::steady_clock::now();
     // A draining agent leaves the next request to the peer that takes the flow over.
     const bool takesRequests = state_ == Model::InstanceState::Ready && mayStart(now)
-        && !session.isMoving && !session.closesWhenSent;
+                               && !session.isMoving && !session.closesWhenSent;
     if (takesRequests && !runner_.hasRequest(flow)) {
         if (auto next = session.reader.next()) {
             if (auto *request = std::get_if<Requests::HttpRequest>(&*next)) {
@@ -303,8 +302,8 @@
             }
         }
     }
-    const bool hasRoom = !runner_.hasRequest(flow)
-        || session.reader.unreadBytes().size() < MaxPipelinedBytes;
+    const bool hasRoom =
+        !runner_.hasRequest(flow) || session.reader.unreadBytes().size() < MaxPipelinedBytes;
     if (hasRoom && session.withheld > 0) {
         stack_->consumed(flow, session.withheld);
         session.withheld = 0;
@@ -448,8 +447,8 @@
 {
     if (!serviceTable_)
         return std::nullopt;
-    const auto chain
-        = serviceTable_->chainFor(Model::flowHash(flow), Routing::PacketKind::OpensFlow);
+    const auto chain =
+        serviceTable_->chainFor(Model::flowHash(flow), Routing::PacketKind::OpensFlow);
     for (const Routing::Hop &hop : chain) {
         if (hop.instance != self_.instance && !session.refusedBy.contains(hop.instance))
             return hop;
@@ -499,7 +498,7 @@
 TransferReply AgentTraffic::take(const FlowTransfer &transfer)
 {
     const bool isMeant = transfer.service == service_ && transfer.receiver == self_.instance
-        && transfer.receiverIncarnation == self_.incarnation;
+                         && transfer.receiverIncarnation == self_.incarnation;
     if (!isMeant)
         return TransferReply::OtherInstance;
     if (const auto known = transferReplies_.find(transfer.id); known != transferReplies_.end())
@@ -507,8 +506,8 @@
 
     const auto now = std::chrono::steady_clock::now();
     const Flows::Room current = room();
-    const bool isTaken = stack_ && current.isReady && current.hasRoom
-        && stack_->importFlow(transfer.tcp);
+    const bool isTaken =
+        stack_ && current.isReady && current.hasRoom && stack_->importFlow(transfer.tcp);
     const auto reply = isTaken ? TransferReply::Taken : TransferReply::Refused;
     transferReplies_[transfer.id] = reply;
     transferOrder_.emplace_back(now, transfer.id);
@@ -527,8 +526,8 @@
     if (transfer.feed)
         runner_.resumeFeed(flow, *transfer.feed);
     if (serviceTable_) {
-        const auto chain
-            = serviceTable_->chainFor(Model::flowHash(flow), Routing::PacketKind::OfFlow);
+        const auto chain =
+            serviceTable_->chainFor(Model::flowHash(flow), Routing::PacketKind::OfFlow);
         if (!chain.isEmpty() && chain[0].instance != self_.instance)
             sendRedirects(chain[0], {flow});
     }
@@ -555,8 +554,8 @@
     Flows::Room room;
     room.isReady = stack_ && state_ == Model::InstanceState::Ready && !pauseDetector_.isInDoubt();
     room.hasSpare = runner_.hasSpareSlot();
-    room.hasRoom = serviceTable_
-        && director_.openCount() < serviceTable_->service().connectionsPerServer;
+    room.hasRoom =
+        serviceTable_ && director_.openCount() < serviceTable_->service().connectionsPerServer;
     return room;
 }
 
@@ -662,9 +661,8 @@
 
 std::size_t AgentTraffic::openWork()
 {
-    return onTrafficThread([this] {
-        return sessions_.size() + runner_.runningCount() + runner_.waitingCount();
-    });
+    return onTrafficThread(
+        [this] { return sessions_.size() + runner_.runningCount() + runner_.waitingCount(); });
 }
 
 void AgentTraffic::scheduleTick()
@@ -698,8 +696,7 @@
     }
     if (state_ != Model::InstanceState::Ready)
         moveFlows(now);
-    while (!transferOrder_.empty()
-           && now - transferOrder_.front().first > TransferReplyLifetime) {
+    while (!transferOrder_.empty() && now - transferOrder_.front().first > TransferReplyLifetime) {
         transferReplies_.erase(transferOrder_.front().second);
         transferOrder_.pop_front();
     }
@@ -716,8 +713,8 @@
             drops[Flows::dropCauseText(Flows::DropCause(cause))] = counters_.drops[cause];
         nlohmann::json refusals;
         for (std::size_t cause = 0; cause < requests.refusals.size(); ++cause)
-            refusals[Requests::refusalText(Requests::RefusalCause(cause))]
-                = requests.refusals[cause];
+            refusals[Requests::refusalText(Requests::RefusalCause(cause))] =
+                requests.refusals[cause];
         nlohmann::json transfers;
         for (std::size_t result = 0; result < counters_.transfers.size(); ++result)
             transfers[transferResultText(TransferResult(result))] = counters_.transfers[result];
--- a/src/libs/agent/backendcall.cpp
+++ b/src/libs/agent/backendcall.cpp
@@ -24,8 +24,8 @@
 static bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 7> Names{
-        "Connection",        "Keep-Alive", "Transfer-Encoding", "Content-Length",
-        "Proxy-Connection", "TE",         "Upgrade"};
+        "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Proxy-Connection",
+        "TE",         "Upgrade"};
     return std::any_of(Names.begin(), Names.end(), [name](std::string_view hopByHop) {
         return beast::iequals({name.data(), name.size()}, {hopByHop.data(), hopByHop.size()});
     });
@@ -63,9 +63,8 @@
         limit_ = limit;
         stream_.expires_after(ConnectLimit);
         const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(backend.address), backend.port);
-        stream_.async_connect(endpoint, [self = self()](beast::error_code error) {
-            self->onConnected(error);
-        });
+        stream_.async_connect(
+            endpoint, [self = self()](beast::error_code error) { self->onConnected(error); });
     }
 
     void readMore() override
@@ -75,10 +74,9 @@
         reading_ = true;
         parser_.get().body().data = part_.data();
         parser_.get().body().size = part_.size();
-        http::async_read_some(stream_, buffer_, parser_,
-                              [self = self()](beast::error_code error, std::size_t) {
-                                  self->onRead(error);
-                              });
+        http::async_read_some(
+            stream_, buffer_, parser_,
+            [self = self()](beast::error_code error, std::size_t) { self->onRead(error); });
     }
 
     void cancel() override
@@ -129,13 +127,14 @@
         for (const auto &field : message) {
             const std::string name(field.name_string().data(), field.name_string().size());
             if (!isHopByHop(name))
-                head.headers.emplace_back(
-                    name, std::string(field.value().data(), field.value().size()));
+                head.headers.emplace_back(name,
+                                          std::string(field.value().data(), field.value().size()));
         }
         if (const auto length = parser_.content_length())
             head.contentLength = *length;
         handlers_.onHead(head);
-        if (finished_)
+        // A read that the handler began may have parsed the body already.
+        if (finished_ || reading_)
             return;
         if (parser_.is_done())
             finish();
--- a/src/libs/agent/backendcall.h
+++ b/src/libs/agent/backendcall.h
@@ -47,12 +47,10 @@
 
     /// Sends \a request to \a backend. \a limit bounds the time to the end of the answer; none
     /// for feeds. \a deadline is told to the backend server.
-    static std::shared_ptr<BackendCall> start(boost::asio::io_context &io,
-                                              const Model::Endpoint &backend,
-                                              const Requests::HttpRequest &request,
-                                              std::optional<std::chrono::milliseconds> limit,
-                                              std::chrono::milliseconds deadline,
-                                              Handlers handlers);
+    static std::shared_ptr<BackendCall>
+    start(boost::asio::io_context &io, const Model::Endpoint &backend,
+          const Requests::HttpRequest &request, std::optional<std::chrono::milliseconds> limit,
+          std::chrono::milliseconds deadline, Handlers handlers);
 
     virtual ~BackendCall() = default;
 
--- a/src/libs/agent/backendhealth.cpp
+++ b/src/libs/agent/backendhealth.cpp
@@ -51,8 +51,8 @@
     handlers.onDone = [this] { onAnswer(status_, body_); };
     handlers.onFailed = [this](BackendFailure) { onFailure(); };
     const Requests::HttpRequest request{"GET", "/health", {}, {}, false};
-    call_ = BackendCall::start(io_, backend_, request, AnswerLimit, AnswerLimit,
-                               std::move(handlers));
+    call_ =
+        BackendCall::start(io_, backend_, request, AnswerLimit, AnswerLimit, std::move(handlers));
 }
 
 void BackendHealth::wait()
@@ -69,7 +69,7 @@
     failures_ = 0;
     const auto answer = nlohmann::json::parse(body, nullptr, false);
     const bool isReadable = status == StatusOk && answer.is_object() && answer.contains("state")
-        && answer["state"].is_string();
+                            && answer["state"].is_string();
     const std::string state = isReadable ? answer["state"].get<std::string>() : "";
     if (state == "ready")
         change(BackendState::Ready);
--- a/src/libs/agent/peerlink.cpp
+++ b/src/libs/agent/peerlink.cpp
@@ -43,9 +43,9 @@
     kj::Promise<void> offerFlow(OfferFlowContext context) override
     {
         const auto parameters = context.getParams();
-        const bool accepted
-            = handlers_.offer(Model::InstanceId(parameters.getReceiver()),
-                              Model::Incarnation(parameters.getReceiverIncarnation()));
+        const bool accepted =
+            handlers_.offer(Model::InstanceId(parameters.getReceiver()),
+                            Model::Incarnation(parameters.getReceiverIncarnation()));
         context.getResults().setAccepted(accepted);
         return kj::READY_NOW;
     }
@@ -134,9 +134,10 @@
 {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
-        const auto earliest = std::min_element(
-            jobs_.begin(), jobs_.end(),
-            [](const Job &left, const Job &right) { return left.notBefore < right.notBefore; });
+        const auto earliest =
+            std::min_element(jobs_.begin(), jobs_.end(), [](const Job &left, const Job &right) {
+                return left.notBefore < right.notBefore;
+            });
         if (earliest == jobs_.end()) {
             wake_.wait(lock);
             continue;
--- a/src/libs/agent/requestrunner.cpp
+++ b/src/libs/agent/requestrunner.cpp
@@ -87,8 +87,7 @@
     return id;
 }
 
-void RequestRunner::submit(TimePoint now, const Model::FlowKey &flow,
-                           Requests::HttpRequest request)
+void RequestRunner::submit(TimePoint now, const Model::FlowKey &flow, Requests::HttpRequest request)
 {
     ++counters_.submitted;
     retryBudget_.onRequest();
@@ -138,11 +137,11 @@
         ++counters_.refusals[std::size_t(RefusalCause::QueueFull)];
         answer = Requests::refusalAnswer(RefusalCause::QueueFull, 1, request.keepsFlowOpen);
     }
-    boost::asio::post(io_, [this, flow, answer = std::move(answer),
-                            keepsOpen = request.keepsFlowOpen] {
-        sink_.write(flow, answer);
-        sink_.end(flow, keepsOpen);
-    });
+    boost::asio::post(io_,
+                      [this, flow, answer = std::move(answer), keepsOpen = request.keepsFlowOpen] {
+                          sink_.write(flow, answer);
+                          sink_.end(flow, keepsOpen);
+                      });
     return true;
 }
 
@@ -190,8 +189,8 @@
 {
     Running *const running = find(id);
     running->started = now;
-    counters_.queueTime += std::chrono::duration_cast<std::chrono::microseconds>(
-        now - running->submitted);
+    counters_.queueTime +=
+        std::chrono::duration_cast<std::chrono::microseconds>(now - running->submitted);
     openCall(id);
 }
 
@@ -214,9 +213,9 @@
         if (!running.cursor.lastEventId().empty())
             Requests::setHeader(request.headers, "Last-Event-ID", running.cursor.lastEventId());
     }
-    running.call = BackendCall::start(io_, backend_, request, limit,
-                                      std::max(remaining, std::chrono::milliseconds(0)),
-                                      std::move(handlers));
+    running.call =
+        BackendCall::start(io_, backend_, request, limit,
+                           std::max(remaining, std::chrono::milliseconds(0)), std::move(handlers));
 }
 
 void RequestRunner::refuse(Id id, RefusalCause cause, std::chrono::milliseconds retryAfter)
@@ -252,7 +251,7 @@
     if (!running)
         return;
     const bool wasShed = head.status == StatusUnavailable
-        && Requests::headerValue(head.headers, ShedHeader) == ShedBeforeRun;
+                         && Requests::headerValue(head.headers, ShedHeader) == ShedBeforeRun;
     if (wasShed && !running->headSent) {
         running->call->cancel();
         const auto now = std::chrono::steady_clock::now();
@@ -318,9 +317,9 @@
         journal_.finish(running->journalKey, std::move(running->kept));
     const bool hadSlot = running->workClass != WorkClass::Feed;
     if (hadSlot)
-        estimator_.learn(running->request, running->workClass,
-                         std::chrono::duration_cast<std::chrono::microseconds>(
-                             now - running->started));
+        estimator_.learn(
+            running->request, running->workClass,
+            std::chrono::duration_cast<std::chrono::microseconds>(now - running->started));
     const Model::FlowKey flow = running->flow;
     const bool keepsOpen = running->writer.keepsFlowOpen();
     const bool callerIsGone = running->callerIsGone;
@@ -338,7 +337,7 @@
         return;
     const auto now = std::chrono::steady_clock::now();
     const bool canResume = running->workClass == WorkClass::Feed && running->headSent
-        && !running->cursor.lastEventId().empty();
+                           && !running->cursor.lastEventId().empty();
     if (canResume) {
         running->call.reset();
         running->started = now;
--- a/src/libs/balancer/forwarder.cpp
+++ b/src/libs/balancer/forwarder.cpp
@@ -30,8 +30,8 @@
     if (!service)
         return DropCause::UnknownService;
 
-    const auto kind = tcp.opensFlow() ? Routing::PacketKind::OpensFlow
-                                      : Routing::PacketKind::OfFlow;
+    const auto kind =
+        tcp.opensFlow() ? Routing::PacketKind::OpensFlow : Routing::PacketKind::OfFlow;
     Tunnel::PacketHeader header;
     header.chain = service->chainFor(Model::flowHash(tcp.flow), kind);
     header.opensFlow = tcp.opensFlow();
--- a/src/libs/balancer/forwarder.h
+++ b/src/libs/balancer/forwarder.h
@@ -18,9 +18,9 @@
 namespace Balancer {
 
 enum class DropCause {
-    NotGre,        ///< another GRE header than RFC 8086's for IPv4
+    NotGre,         ///< another GRE header than RFC 8086's for IPv4
     UnknownService, ///< no service has the packet's destination
-    NoInstance,    ///< the service has no instance that could take the packet
+    NoInstance,     ///< the service has no instance that could take the packet
 };
 
 constexpr std::size_t DropCauseCount = 3;
--- a/src/libs/configuration/checkedjson.cpp
+++ b/src/libs/configuration/checkedjson.cpp
@@ -291,7 +291,8 @@
         refuse(key, Problem::WrongType, "an integer is expected");
         return least;
     }
-    const bool tooLarge = value->is_number_unsigned()
+    const bool tooLarge =
+        value->is_number_unsigned()
         && value->get<std::uint64_t>() > std::uint64_t(std::numeric_limits<std::int64_t>::max());
     if (tooLarge || value->get<std::int64_t>() < least || value->get<std::int64_t>() > most) {
         refuse(key, Problem::OutOfRange, fmt::format("from {} to {}", least, most));
@@ -350,9 +351,10 @@
     const nlohmann::json *const value = member(key, true);
     if (!value)
         return {};
-    const bool isListOfStrings = value->is_array()
-        && std::all_of(value->begin(), value->end(),
-                       [](const auto &element) { return element.is_string(); });
+    const bool isListOfStrings =
+        value->is_array() && std::all_of(value->begin(), value->end(), [](const auto &element) {
+            return element.is_string();
+        });
     if (!isListOfStrings) {
         refuse(key, Problem::WrongType, "a list of strings is expected");
         return {};
--- a/src/libs/configuration/questionnaire.cpp
+++ b/src/libs/configuration/questionnaire.cpp
@@ -25,11 +25,11 @@
     Model::Service service;
     service.name = reader.string("name");
     service.address = reader.endpoint("address");
-    service.deadline
-        = std::chrono::milliseconds(reader.integer("answerWithinMs", LeastDeadlineMs, MostDeadlineMs));
+    service.deadline = std::chrono::milliseconds(
+        reader.integer("answerWithinMs", LeastDeadlineMs, MostDeadlineMs));
     service.slotsPerServer = std::uint32_t(reader.integer("slotsPerServer", 1, MostSlots));
-    service.connectionsPerServer
-        = std::uint32_t(reader.integer("connectionsPerServer", 1, MostConnections));
+    service.connectionsPerServer =
+        std::uint32_t(reader.integer("connectionsPerServer", 1, MostConnections));
     service.longWorkPaths = readPaths(reader, "longWorkPaths");
     service.feedPaths = readPaths(reader, "feedPaths");
     return service;
--- a/src/libs/control/announcementkeeper.cpp
+++ b/src/libs/control/announcementkeeper.cpp
@@ -1,7 +1,5 @@
 #include "control/announcementkeeper.h"
 
-#include "membership/announcement.h"
-
 namespace Control {
 
 static constexpr std::chrono::milliseconds FirstPause{100};
@@ -44,7 +42,7 @@
     Platform::Precondition precondition = Platform::IfAbsent{};
     if (announced_)
         precondition = Platform::IfVersion{version_};
-    return WriteAnnouncement{Membership::encodeAnnouncement(wanted_), precondition};
+    return WriteAnnouncement{wanted_, precondition};
 }
 
 void AnnouncementKeeper::onSeen(Platform::Version version,
@@ -67,17 +65,14 @@
     }
 }
 
-void AnnouncementKeeper::onWritten(Platform::Version version)
+void AnnouncementKeeper::onWritten(Platform::Version version,
+                                   const std::optional<Model::Instance> &written)
 {
     backoff_.onSuccess();
     version_ = version;
     isKnown_ = true;
-    if (leaving_) {
-        announced_.reset();
-        left_ = true;
-        return;
-    }
-    announced_ = wanted_;
+    announced_ = written;
+    left_ = leaving_ && !written;
 }
 
 void AnnouncementKeeper::onFailed(TimePoint now, Platform::FailureKind kind)
--- a/src/libs/control/announcementkeeper.h
+++ b/src/libs/control/announcementkeeper.h
@@ -16,10 +16,10 @@
 struct ReadAnnouncement
 {};
 
-/// Write \c value under \c precondition.
+/// Write \c instance under \c precondition.
 struct WriteAnnouncement
 {
-    std::string value;
+    Model::Instance instance;
     Platform::Precondition precondition;
 };
 
@@ -35,8 +35,8 @@
     std::chrono::steady_clock::time_point until;
 };
 
-using AnnouncementStep
-    = std::variant<ReadAnnouncement, WriteAnnouncement, RemoveAnnouncement, Rest>;
+using AnnouncementStep =
+    std::variant<ReadAnnouncement, WriteAnnouncement, RemoveAnnouncement, Rest>;
 
 /// Keeps an agent's announcement on the platform as the agent wants it.
 ///
@@ -61,8 +61,8 @@
     /// Notes the announcement as read, or as a watch reported it; nothing if there is none.
     void onSeen(Platform::Version version, const std::optional<Model::Instance> &announced);
 
-    /// Notes that a write or deletion took effect.
-    void onWritten(Platform::Version version);
+    /// Notes that \a written took effect, or a deletion where it is nothing.
+    void onWritten(Platform::Version version, const std::optional<Model::Instance> &written);
 
     /// Notes that a call failed; a write with an unknown outcome is read back.
     void onFailed(TimePoint now, Platform::FailureKind kind);
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -70,9 +70,8 @@
     Platform::Listing listing;
     listing.revision = revision_;
     if (gate_.current().generation > Model::Generation{})
-        listing.objects.push_back(
-            {std::string(Membership::ConfigurationKey), configurationVersion_,
-             Configuration::encodeConfiguration(gate_.current()).dump()});
+        listing.objects.push_back({std::string(Membership::ConfigurationKey), configurationVersion_,
+                                   Configuration::encodeConfiguration(gate_.current()).dump()});
     for (const Model::Instance &instance : registry_.instances())
         listing.objects.push_back({Membership::instanceKey(instance.name),
                                    registry_.versionOf(instance.name),
--- a/src/libs/control/platformwriter.cpp
+++ b/src/libs/control/platformwriter.cpp
@@ -123,15 +123,16 @@
         return;
     }
 
+    const auto *const write = std::get_if<WriteAnnouncement>(&step);
     const auto written = attempt([&] {
-        if (const auto *removal = std::get_if<RemoveAnnouncement>(&step))
-            return client_.remove(key, removal->version);
-        const auto &write = std::get<WriteAnnouncement>(step);
-        return client_.write(key, write.value, write.precondition);
+        if (!write)
+            return client_.remove(key, std::get<RemoveAnnouncement>(step).version);
+        return client_.write(key, Membership::encodeAnnouncement(write->instance),
+                             write->precondition);
     });
     const std::lock_guard guard(mutex_);
     if (const auto *version = std::get_if<Platform::Version>(&written))
-        keeper_.onWritten(*version);
+        keeper_.onWritten(*version, write ? std::optional(write->instance) : std::nullopt);
     else
         keeper_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(written));
 }
@@ -163,8 +164,8 @@
     bool changed = false;
     {
         const std::lock_guard guard(mutex_);
-        changed = keeper_.isDrainAsked() != noticedDrain_
-            || keeper_.isReplaced() != noticedReplacement_;
+        changed =
+            keeper_.isDrainAsked() != noticedDrain_ || keeper_.isReplaced() != noticedReplacement_;
         noticedDrain_ = keeper_.isDrainAsked();
         noticedReplacement_ = keeper_.isReplaced();
     }
--- a/src/libs/control/watcher.h
+++ b/src/libs/control/watcher.h
@@ -21,8 +21,8 @@
     using Changed = std::function<void(const ClusterView &)>;
 
     /// Begins to watch \a platform. While it is down, asks the admin endpoints of \a peers.
-    Watcher(const Model::Endpoint &platform, std::vector<Model::Endpoint> peers,
-            std::uint64_t seed, Changed changed);
+    Watcher(const Model::Endpoint &platform, std::vector<Model::Endpoint> peers, std::uint64_t seed,
+            Changed changed);
 
     /// Ends the thread, and a call in progress.
     ~Watcher();
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -58,8 +58,8 @@
 {}
 
 Decision FlowDirector::onPacket(TimePoint now, Model::ServiceId service,
-                                const Tunnel::PacketHeader &header,
-                                const Tunnel::TcpPacket &packet, const Room &room)
+                                const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet,
+                                const Room &room)
 {
     const Routing::Hop &receiver = header.chain[header.position];
     if (service != service_)
@@ -84,8 +84,7 @@
     return passToNext(header, DropCause::NoOwner);
 }
 
-std::optional<Decision> FlowDirector::onOwnedFlow(TimePoint now,
-                                                  const Tunnel::PacketHeader &header,
+std::optional<Decision> FlowDirector::onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
                                                   const Tunnel::TcpPacket &packet)
 {
     const auto entry = flows_.find(packet.flow);
@@ -107,8 +106,8 @@
 
     if (packet.opensFlow())
         return Decision{Deliver{}, std::nullopt, false};
-    const bool matches = flow.initialSequence && packet.ack
-        && packet.acknowledgement == *flow.initialSequence + 1;
+    const bool matches =
+        flow.initialSequence && packet.ack && packet.acknowledgement == *flow.initialSequence + 1;
     // The packet belongs to a flow that another agent opened under the same key.
     if (!matches)
         return std::nullopt;
@@ -126,8 +125,8 @@
                                  bool isThisIncarnation)
 {
     const bool isLast = std::size_t(header.position) + 1 >= header.chain.size();
-    const bool takes = isThisIncarnation && room.isReady && room.hasRoom
-        && (room.hasSpare || isLast);
+    const bool takes =
+        isThisIncarnation && room.isReady && room.hasRoom && (room.hasSpare || isLast);
     if (!takes)
         return passToNext(header, DropCause::NoRoom);
 
@@ -236,8 +235,8 @@
     return halfOpen;
 }
 
-std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>> FlowDirector::ownershipNotices(
-    const Routing::ServiceTable &table) const
+std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>>
+FlowDirector::ownershipNotices(const Routing::ServiceTable &table) const
 {
     std::map<Model::InstanceId, std::pair<Routing::Hop, std::vector<Model::FlowKey>>> byReceiver;
     for (const auto &[key, flow] : flows_) {
@@ -260,7 +259,7 @@
 {
     const auto entry = flows_.find(flow);
     return entry != flows_.end()
-        && (entry->second.phase == Phase::Established || entry->second.phase == Phase::Moving);
+           && (entry->second.phase == Phase::Established || entry->second.phase == Phase::Moving);
 }
 
 std::vector<Model::FlowKey> FlowDirector::ownedFlows() const
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -119,8 +119,8 @@
     std::vector<Model::FlowKey> expire(TimePoint now);
 
     /// Returns, per first-ranked agent in \a table, the owned flows that it is to learn of.
-    std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>> ownershipNotices(
-        const Routing::ServiceTable &table) const;
+    std::vector<std::pair<Routing::Hop, std::vector<Model::FlowKey>>>
+    ownershipNotices(const Routing::ServiceTable &table) const;
 
     /// Whether \a flow is established here.
     bool owns(const Model::FlowKey &flow) const;
--- a/src/libs/model/service.h
+++ b/src/libs/model/service.h
@@ -12,12 +12,12 @@
 struct Service
 {
     std::string name;
-    Endpoint address;                        ///< where callers reach it
-    std::chrono::milliseconds deadline{0};   ///< from a whole request to the end of its answer
-    std::uint32_t slotsPerServer = 0;        ///< requests that run at once on a backend server
-    std::uint32_t connectionsPerServer = 0;  ///< flows that a backend server may hold
-    std::vector<std::string> longWorkPaths;  ///< path prefixes of work that runs long
-    std::vector<std::string> feedPaths;      ///< path prefixes of endless answers
+    Endpoint address;                       ///< where callers reach it
+    std::chrono::milliseconds deadline{0};  ///< from a whole request to the end of its answer
+    std::uint32_t slotsPerServer = 0;       ///< requests that run at once on a backend server
+    std::uint32_t connectionsPerServer = 0; ///< flows that a backend server may hold
+    std::vector<std::string> longWorkPaths; ///< path prefixes of work that runs long
+    std::vector<std::string> feedPaths;     ///< path prefixes of endless answers
 
     bool operator==(const Service &) const = default;
 };
--- a/src/libs/observability/adminserver.cpp
+++ b/src/libs/observability/adminserver.cpp
@@ -48,8 +48,7 @@
     }
 
 private:
-    static void send(HTTPServerResponse &response, const std::string &type,
-                     const std::string &body)
+    static void send(HTTPServerResponse &response, const std::string &type, const std::string &body)
     {
         response.setContentType(type);
         response.sendBuffer(body.data(), body.size());
--- a/src/libs/observability/log.cpp
+++ b/src/libs/observability/log.cpp
@@ -56,8 +56,8 @@
 {
     if (level < threshold)
         return;
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
+    const auto now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     std::string line = fmt::format("{:%Y-%m-%dT%H:%M:}{:%S}Z {} {}",
                                    fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                                    now.time_since_epoch(), levelText(level), event);
--- a/src/libs/operations/acceptance.h
+++ b/src/libs/operations/acceptance.h
@@ -68,12 +68,12 @@
     const auto contains = [&](const std::string &value) {
         const auto found = configurationOf({key, {}, value});
         return found
-            && std::find(found->recentChanges.begin(), found->recentChanges.end(), changeId)
-            != found->recentChanges.end();
+               && std::find(found->recentChanges.begin(), found->recentChanges.end(), changeId)
+                      != found->recentChanges.end();
     };
-    const auto written = Platform::writeOnce(
-        client, key, Configuration::encodeConfiguration(candidate).dump(), precondition, contains,
-        pause);
+    const auto written =
+        Platform::writeOnce(client, key, Configuration::encodeConfiguration(candidate).dump(),
+                            precondition, contains, pause);
     switch (written.outcome) {
     case Platform::WriteOutcome::Written:
         return {Acceptance::InForce, candidate.generation};
--- a/src/libs/platform/httpobjectclient.cpp
+++ b/src/libs/platform/httpobjectclient.cpp
@@ -69,10 +69,10 @@
     session_.setKeepAlive(true);
 }
 
-boost::leaf::result<HttpObjectClient::Answer> HttpObjectClient::call(
-    const std::string &method, const std::string &path, const std::string &body,
-    const std::string &conditionName, const std::string &conditionValue,
-    std::chrono::milliseconds extraWait)
+boost::leaf::result<HttpObjectClient::Answer>
+HttpObjectClient::call(const std::string &method, const std::string &path, const std::string &body,
+                       const std::string &conditionName, const std::string &conditionValue,
+                       std::chrono::milliseconds extraWait)
 {
     if (aborted_)
         return boost::leaf::new_error(Failure{FailureKind::Unreachable});
@@ -89,7 +89,9 @@
         // A fresh connection for writes: a reused one may break after the write arrived.
         if (method != HTTPRequest::HTTP_GET)
             session_.reset();
-        if (!session_.connected())
+        if (session_.connected())
+            session_.socket().setReceiveTimeout(session_.getTimeout());
+        else
             session_.reset();
         std::ostream &out = session_.sendRequest(request);
         mayHaveArrived = true;
@@ -114,8 +116,8 @@
 
 boost::leaf::result<std::string> HttpObjectClient::page(const std::string &path)
 {
-    BOOST_LEAF_AUTO(answer, call(HTTPRequest::HTTP_GET, path, {}, {}, {},
-                                 std::chrono::milliseconds(0)));
+    BOOST_LEAF_AUTO(answer,
+                    call(HTTPRequest::HTTP_GET, path, {}, {}, {}, std::chrono::milliseconds(0)));
     return std::move(answer.body);
 }
 
@@ -143,8 +145,8 @@
 boost::leaf::result<Listing> HttpObjectClient::list(const std::string &prefix,
                                                     const std::string &path)
 {
-    BOOST_LEAF_AUTO(answer, call(HTTPRequest::HTTP_GET, path + "?prefix=" + encoded(prefix), {},
-                                 {}, {}, std::chrono::milliseconds(0)));
+    BOOST_LEAF_AUTO(answer, call(HTTPRequest::HTTP_GET, path + "?prefix=" + encoded(prefix), {}, {},
+                                 {}, std::chrono::milliseconds(0)));
     try {
         const auto json = nlohmann::json::parse(answer.body);
         Listing listing;
@@ -160,9 +162,8 @@
     }
 }
 
-boost::leaf::result<Version> HttpObjectClient::write(const std::string &key,
-                                                     const std::string &value,
-                                                     Precondition precondition)
+boost::leaf::result<Version>
+HttpObjectClient::write(const std::string &key, const std::string &value, Precondition precondition)
 {
     const auto *const ifVersion = std::get_if<IfVersion>(&precondition);
     BOOST_LEAF_AUTO(answer, call(HTTPRequest::HTTP_PUT, "/v1/objects/" + encoded(key), value,
@@ -188,8 +189,8 @@
 boost::leaf::result<Changes> HttpObjectClient::watch(const std::string &prefix, Revision after,
                                                      std::chrono::milliseconds wait)
 {
-    const std::string path = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
-                                         encoded(prefix), std::uint64_t(after), wait.count());
+    const std::string path = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}", encoded(prefix),
+                                         std::uint64_t(after), wait.count());
     BOOST_LEAF_AUTO(answer, call(HTTPRequest::HTTP_GET, path, {}, {}, {}, wait));
     try {
         const auto json = nlohmann::json::parse(answer.body);
--- a/src/libs/platform/httpobjectclient.h
+++ b/src/libs/platform/httpobjectclient.h
@@ -23,7 +23,8 @@
 
     boost::leaf::result<Object> read(const std::string &key);
 
-    /// Lists the objects below \a prefix. A peer's admin server has its snapshot at another \a path.
+    /// Lists the objects below \a prefix. A peer's admin server has its snapshot at another \a
+    /// path.
     boost::leaf::result<Listing> list(const std::string &prefix,
                                       const std::string &path = "/v1/objects");
     boost::leaf::result<Version> write(const std::string &key, const std::string &value,
--- a/src/libs/platform/objectclient.h
+++ b/src/libs/platform/objectclient.h
@@ -102,24 +102,24 @@
 /// What the code above needs of the platform. Each call may block up to the client's timeout and
 /// fails with Failure.
 template<typename C>
-concept ObjectClient
-    = requires(C client, const std::string &text, Precondition precondition, Revision revision,
-               std::chrono::milliseconds wait, Version version) {
-          {
-              client.read(text)
-          } -> std::same_as<boost::leaf::result<Object>>;
-          {
-              client.list(text)
-          } -> std::same_as<boost::leaf::result<Listing>>;
-          {
-              client.write(text, text, precondition)
-          } -> std::same_as<boost::leaf::result<Version>>;
-          {
-              client.remove(text, version)
-          } -> std::same_as<boost::leaf::result<Version>>;
-          {
-              client.watch(text, revision, wait)
-          } -> std::same_as<boost::leaf::result<Changes>>;
-      };
+concept ObjectClient = requires(C client, const std::string &text, Precondition precondition,
+                                Revision revision, std::chrono::milliseconds wait, Version version)
+{
+    {
+        client.read(text)
+        } -> std::same_as<boost::leaf::result<Object>>;
+    {
+        client.list(text)
+        } -> std::same_as<boost::leaf::result<Listing>>;
+    {
+        client.write(text, text, precondition)
+        } -> std::same_as<boost::leaf::result<Version>>;
+    {
+        client.remove(text, version)
+        } -> std::same_as<boost::leaf::result<Version>>;
+    {
+        client.watch(text, revision, wait)
+        } -> std::same_as<boost::leaf::result<Changes>>;
+};
 
 } // namespace Platform
--- a/src/libs/requests/admission.cpp
+++ b/src/libs/requests/admission.cpp
@@ -8,8 +8,7 @@
 
 static std::chrono::milliseconds retryAfter(std::chrono::microseconds wait)
 {
-    return std::max(MinimumRetryAfter,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+    return std::max(MinimumRetryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(wait));
 }
 
 Admission::Admission(const AdmissionLimits &limits)
@@ -50,8 +49,8 @@
 
     std::chrono::microseconds work{0};
     for (const auto &[id, running] : running_) {
-        const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
-            now - running.start);
+        const auto elapsed =
+            std::chrono::duration_cast<std::chrono::microseconds>(now - running.start);
         // Work that overran its estimate is taken to be half done.
         work += running.expected > elapsed ? running.expected - elapsed : elapsed;
     }
@@ -91,8 +90,8 @@
 bool Admission::cancel(RequestId id)
 {
     for (Queue *queue : {&shortQueue_, &longQueue_}) {
-        const auto removed
-            = std::erase_if(*queue, [id](const Ticket &ticket) { return ticket.id == id; });
+        const auto removed =
+            std::erase_if(*queue, [id](const Ticket &ticket) { return ticket.id == id; });
         if (removed > 0)
             return true;
     }
--- a/src/libs/requests/admission.h
+++ b/src/libs/requests/admission.h
@@ -46,8 +46,8 @@
 
 struct AdmissionLimits
 {
-    std::size_t slots = 3;      ///< requests that run at once
-    std::size_t longSlots = 2;  ///< slots that long work may fill
+    std::size_t slots = 3;       ///< requests that run at once
+    std::size_t longSlots = 2;   ///< slots that long work may fill
     std::size_t maxWaiting = 64; ///< requests that wait at once
 };
 
--- a/src/libs/requests/answerjournal.h
+++ b/src/libs/requests/answerjournal.h
@@ -42,8 +42,8 @@
 struct JournalFull
 {};
 
-using JournalVerdict
-    = std::variant<FirstRequest, StillRunning, AlreadyAnswered, KeyReused, JournalFull>;
+using JournalVerdict =
+    std::variant<FirstRequest, StillRunning, AlreadyAnswered, KeyReused, JournalFull>;
 
 /// Recognises repeats of a request under one Idempotency-Key on one agent.
 ///
--- a/src/libs/requests/httpmessage.cpp
+++ b/src/libs/requests/httpmessage.cpp
@@ -10,10 +10,9 @@
 
 static bool equalInAnyCase(std::string_view left, std::string_view right)
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](unsigned char a, unsigned char b) {
-                          return std::tolower(a) == std::tolower(b);
-                      });
+    return std::equal(
+        left.begin(), left.end(), right.begin(), right.end(),
+        [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 std::string_view headerValue(const std::vector<Header> &headers, std::string_view name)
@@ -85,11 +84,10 @@
 
 std::string refusalAnswer(RefusalCause cause, unsigned retryAfterSeconds, bool keepsFlowOpen)
 {
-    return jsonAnswer("503 Service Unavailable",
-                      fmt::format("Retry-After: {}\r\n{}: not-run\r\n", retryAfterSeconds,
-                                  OutcomeHeader),
-                      fmt::format(R"({{"outcome":"not-run","cause":"{}"}})", refusalText(cause)),
-                      keepsFlowOpen);
+    return jsonAnswer(
+        "503 Service Unavailable",
+        fmt::format("Retry-After: {}\r\n{}: not-run\r\n", retryAfterSeconds, OutcomeHeader),
+        fmt::format(R"({{"outcome":"not-run","cause":"{}"}})", refusalText(cause)), keepsFlowOpen);
 }
 
 std::string unknownOutcomeAnswer()
@@ -106,7 +104,8 @@
 
 std::string stillRunningAnswer(bool keepsFlowOpen)
 {
-    return jsonAnswer("409 Conflict", fmt::format("{}: unknown\r\nRetry-After: 1\r\n", OutcomeHeader),
+    return jsonAnswer("409 Conflict",
+                      fmt::format("{}: unknown\r\nRetry-After: 1\r\n", OutcomeHeader),
                       R"({"outcome":"unknown","cause":"first-request-still-runs"})", keepsFlowOpen);
 }
 
--- a/src/libs/requests/httpmessage.h
+++ b/src/libs/requests/httpmessage.h
@@ -46,12 +46,12 @@
 
 /// Why a request is refused. Each is also a label of the refusal metric.
 enum class RefusalCause {
-    QueueFull,        ///< the queue is at its bound
-    DeadlineTooClose, ///< the wait would outlast the deadline
-    DeadlinePassed,   ///< the deadline passed while the request waited
-    BackendShed,      ///< the backend server shed the request before running it
+    QueueFull,          ///< the queue is at its bound
+    DeadlineTooClose,   ///< the wait would outlast the deadline
+    DeadlinePassed,     ///< the deadline passed while the request waited
+    BackendShed,        ///< the backend server shed the request before running it
     BackendUnreachable, ///< no connection to the backend server
-    Stopping,         ///< the agent stops and no peer could take the flow
+    Stopping,           ///< the agent stops and no peer could take the flow
 };
 
 constexpr std::size_t RefusalCauseCount = 6;
--- a/src/libs/requests/requestreader.cpp
+++ b/src/libs/requests/requestreader.cpp
@@ -63,8 +63,8 @@
     auto &parser = parser_->parser_;
     while (parsed_ < raw_.size() && !parser.is_done()) {
         boost::beast::error_code error;
-        const std::size_t taken
-            = parser.put(boost::asio::buffer(raw_.data() + parsed_, raw_.size() - parsed_), error);
+        const std::size_t taken =
+            parser.put(boost::asio::buffer(raw_.data() + parsed_, raw_.size() - parsed_), error);
         parsed_ += taken;
         if (error == http::error::need_more)
             break;
--- a/src/libs/requests/workestimator.cpp
+++ b/src/libs/requests/workestimator.cpp
@@ -53,7 +53,7 @@
         return WorkClass::Long;
     const auto route = byRoute_.find(routeOf(request));
     const bool known = route != byRoute_.end() && route->second.count >= LearnedAfter
-        && shortWork_.count >= LearnedAfter;
+                       && shortWork_.count >= LearnedAfter;
     if (known && route->second.microseconds > LongFactor * shortWork_.microseconds)
         return WorkClass::Long;
     return WorkClass::Short;
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -88,8 +88,8 @@
             continue;
         }
         for (std::uint16_t candidate : arrived) {
-            const double candidateScore
-                = score(ids_[candidate], instances_[candidate].capacity, bucket);
+            const double candidateScore =
+                score(ids_[candidate], instances_[candidate].capacity, bucket);
             for (std::uint16_t &index : rank) {
                 if (index != NoInstance
                     && score(ids_[index], instances_[index].capacity, bucket) >= candidateScore)
@@ -171,12 +171,13 @@
 std::size_t ServiceTable::memoryBytes() const
 {
     return buckets_.size() * sizeof(Rank) + instances_.size() * sizeof(Model::Instance)
-        + ids_.size() * sizeof(Model::InstanceId);
+           + ids_.size() * sizeof(Model::InstanceId);
 }
 
-std::shared_ptr<const RoutingTable> RoutingTable::build(
-    const Model::Configuration &configuration, const std::vector<Model::Instance> &instances,
-    const RoutingTable &previous, std::uint64_t version)
+std::shared_ptr<const RoutingTable>
+RoutingTable::build(const Model::Configuration &configuration,
+                    const std::vector<Model::Instance> &instances, const RoutingTable &previous,
+                    std::uint64_t version)
 {
     std::map<std::string, std::vector<Model::Instance>> byService;
     for (const Model::Instance &instance : instances)
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -117,9 +117,8 @@
 
 static std::optional<Datagram> readDatagram(Rpc::Datagram::Reader root)
 {
-    Datagram datagram{Model::ServiceId(root.getService()),
-                      Model::Generation(root.getGeneration()),
-                      {}};
+    Datagram datagram{
+        Model::ServiceId(root.getService()), Model::Generation(root.getGeneration()), {}};
     switch (root.which()) {
     case Rpc::Datagram::PACKET: {
         auto header = readPacketHeader(root.getPacket());
@@ -133,8 +132,8 @@
         return datagram;
     case Rpc::Datagram::PROBE: {
         const auto probe = root.getProbe();
-        datagram.content
-            = Probe{probe.getSequence(), readHop(probe.getSender()), readHop(probe.getTarget())};
+        datagram.content =
+            Probe{probe.getSequence(), readHop(probe.getSender()), readHop(probe.getTarget())};
         return datagram;
     }
     case Rpc::Datagram::PROBE_ANSWER: {
@@ -162,8 +161,7 @@
         auto datagram = readDatagram(message.getRoot<Rpc::Datagram>());
         if (!datagram)
             return std::nullopt;
-        const std::size_t headerBytes
-            = std::size_t(message.getEnd() - begin) * sizeof(capnp::word);
+        const std::size_t headerBytes = std::size_t(message.getEnd() - begin) * sizeof(capnp::word);
         return ReceivedDatagram{std::move(*datagram), bytes.subspan(headerBytes)};
     } catch (const kj::Exception &) {
         return std::nullopt;
--- a/src/libs/tunnel/tcppacket.h
+++ b/src/libs/tunnel/tcppacket.h
@@ -10,12 +10,12 @@
 
 /// Why a packet can't be read.
 enum class PacketFault {
-    Truncated,      ///< shorter than its headers or its total length say
-    NotIpv4,        ///< another IP version or a header length below 20 bytes
-    NotTcp,         ///< another transport protocol
-    Fragment,       ///< one part of a fragmented packet
-    BadTcpHeader,   ///< a TCP header length below 20 bytes
-    ZeroPort,       ///< port 0 at either end
+    Truncated,    ///< shorter than its headers or its total length say
+    NotIpv4,      ///< another IP version or a header length below 20 bytes
+    NotTcp,       ///< another transport protocol
+    Fragment,     ///< one part of a fragmented packet
+    BadTcpHeader, ///< a TCP header length below 20 bytes
+    ZeroPort,     ///< port 0 at either end
 };
 
 constexpr std::size_t PacketFaultCount = 6;
--- a/src/libs/tunnel/udpsocket.cpp
+++ b/src/libs/tunnel/udpsocket.cpp
@@ -75,8 +75,8 @@
     std::size_t sent = 0;
     std::size_t next = 0;
     while (next < count_) {
-        const int taken
-            = sendmmsg(socket, messages_.data() + next, unsigned(count_ - next), MSG_DONTWAIT);
+        const int taken =
+            sendmmsg(socket, messages_.data() + next, unsigned(count_ - next), MSG_DONTWAIT);
         // The first datagram of the rest failed: skip it and go on with the others.
         sent += taken > 0 ? std::size_t(taken) : 0;
         next += taken > 0 ? std::size_t(taken) : 1;
--- a/src/libs/tunnel/udpsocket.h
+++ b/src/libs/tunnel/udpsocket.h
@@ -3,8 +3,8 @@
 #include "model/endpoint.h"
 #include "tunnel/gre.h"
 
-#include <sys/socket.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <cstddef>
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -111,8 +111,8 @@
         [&] { return loadConfiguration(arguments[0]); },
         [](const Model::Configuration &candidate) {
             return withPlatform([&](auto &client) {
-                const auto read = attempt(
-                    [&] { return client.read(std::string(Membership::ConfigurationKey)); });
+                const auto read =
+                    attempt([&] { return client.read(std::string(Membership::ConfigurationKey)); });
                 nlohmann::json before = nlohmann::json::object();
                 if (const auto *object = std::get_if<Platform::Object>(&read))
                     before = nlohmann::json::parse(object->value).at("answers");
@@ -243,8 +243,8 @@
         const auto read = attempt([&] { return client.read(key); });
         const auto *const object = std::get_if<Platform::Object>(&read);
         if (!object) {
-            const bool isMissing = std::get<Platform::FailureKind>(read)
-                == Platform::FailureKind::NotFound;
+            const bool isMissing =
+                std::get<Platform::FailureKind>(read) == Platform::FailureKind::NotFound;
             return isMissing ? refuse("no instance is announced as " + arguments[0])
                              : fail("the platform does not answer");
         }
@@ -362,8 +362,8 @@
         if (command.name != words[0])
             continue;
         if (words.size() != command.argumentCount + 1)
-            return refuse(fmt::format("{} {}: wrong number of arguments", command.name,
-                                      command.arguments));
+            return refuse(
+                fmt::format("{} {}: wrong number of arguments", command.name, command.arguments));
         return command.run({words.begin() + 1, words.end()});
     }
     return refuse("unknown command " + words[0] + "; see help");
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -9,10 +9,10 @@
 /// What scripts can rely on.
 enum class ExitCode {
     Done = 0,
-    Failed = 1,      ///< a process or the platform did not answer
-    BadInput = 2,    ///< command line or file refused; nothing was changed
-    Conflict = 3,    ///< another operator was first; nothing was changed
-    Unknown = 4,     ///< the outcome is not known; look before trying again
+    Failed = 1,   ///< a process or the platform did not answer
+    BadInput = 2, ///< command line or file refused; nothing was changed
+    Conflict = 3, ///< another operator was first; nothing was changed
+    Unknown = 4,  ///< the outcome is not known; look before trying again
 };
 
 /// Runs the subcommand in \a words, the program's name left out.
--- a/tests/standins/backendserver.cpp
+++ b/tests/standins/backendserver.cpp
@@ -85,8 +85,8 @@
     if (path == "/feed")
         return feed(request, response);
     if (path == "/whoami")
-        return sendJson(response, Ok, {{"service", FLAGS_backend_service},
-                                       {"instance", FLAGS_backend_instance}});
+        return sendJson(response, Ok,
+                        {{"service", FLAGS_backend_service}, {"instance", FLAGS_backend_instance}});
     if (path == "/orders" && method == "POST")
         return order(request, response, milliseconds(FLAGS_backend_work_ms));
     if (path == "/manifests" && method == "POST")
@@ -130,10 +130,11 @@
     }
     work(duration);
     --busy_;
-    sendJson(response, Ok, {{"service", FLAGS_backend_service},
-                            {"instance", FLAGS_backend_instance},
-                            {"order", name},
-                            {"bytes", body.size()}});
+    sendJson(response, Ok,
+             {{"service", FLAGS_backend_service},
+              {"instance", FLAGS_backend_instance},
+              {"order", name},
+              {"bytes", body.size()}});
 }
 
 void BackendServer::feed(const HTTPServerRequest &request, HTTPServerResponse &response) const
@@ -157,9 +158,9 @@
     if (!listen)
         return 2;
     BackendServer backend;
-    const auto server = serveHttp(*listen, BackendThreads, [&backend](auto &request, auto &response) {
-        backend.handle(request, response);
-    });
+    const auto server =
+        serveHttp(*listen, BackendThreads,
+                  [&backend](auto &request, auto &response) { backend.handle(request, response); });
     waitForStop();
     std::_Exit(0);
 }
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -137,7 +137,7 @@
     caller.since = Clock::now();
     caller.requestsLeft = std::geometric_distribution<std::uint64_t>(
                               1.0 / double(FLAGS_caller_mean_requests))(random_)
-        + 1;
+                          + 1;
     ++counts_["flows"];
 }
 
@@ -159,8 +159,8 @@
 void Callers::drainEvents()
 {
     for (const Stack::Event &event : stack_.takeEvents()) {
-        const Model::FlowKey key = std::visit([](const auto &content) { return content.flow; },
-                                              event);
+        const Model::FlowKey key =
+            std::visit([](const auto &content) { return content.flow; }, event);
         const auto entry = callers_.find(key);
         if (entry == callers_.end())
             continue;
@@ -208,15 +208,16 @@
 
 void Callers::sendOrder(const Model::FlowKey &key, Caller &caller, Clock::time_point now)
 {
-    caller.order = fmt::format("{}-{}-{}", FLAGS_caller_service_name, FLAGS_caller_address,
-                               nextOrder_++);
+    caller.order =
+        fmt::format("{}-{}-{}", FLAGS_caller_service_name, FLAGS_caller_address, nextOrder_++);
     const bool isManifest = caller.kind == Kind::Manifests;
     nlohmann::json body{{"order", caller.order}};
     if (isManifest)
         body["sheets"] = std::string(ManifestBytes, 'w');
     const std::string text = body.dump();
-    caller.outgoing += fmt::format("POST {} HTTP/1.1\r\nHost: service\r\nContent-Length: {}\r\n\r\n{}",
-                                   isManifest ? "/manifests" : "/orders", text.size(), text);
+    caller.outgoing +=
+        fmt::format("POST {} HTTP/1.1\r\nHost: service\r\nContent-Length: {}\r\n\r\n{}",
+                    isManifest ? "/manifests" : "/orders", text.size(), text);
     caller.isWaiting = true;
     caller.since = now;
     caller.parser = std::make_unique<Parser>();
@@ -293,8 +294,8 @@
     body.clear();
     for (auto end = caller.eventText.find("\n\n"); end != std::string::npos;
          end = caller.eventText.find("\n\n")) {
-        const std::string expected = fmt::format("id: {}\ndata: {}", caller.nextEvent,
-                                                 caller.nextEvent);
+        const std::string expected =
+            fmt::format("id: {}\ndata: {}", caller.nextEvent, caller.nextEvent);
         if (caller.eventText.substr(0, end) != expected) {
             ++counts_["feedGaps"];
             fmt::print(stderr, "caller: expected {} got {}\n", caller.nextEvent,
@@ -324,7 +325,7 @@
     } else {
         const auto json = nlohmann::json::parse(message.body(), nullptr, false);
         const bool isOwn = json.is_object() && json.value("order", "") == caller.order
-            && json.value("service", "") == FLAGS_caller_service_name;
+                           && json.value("service", "") == FLAGS_caller_service_name;
         if (!isOwn)
             ++counts_["misdelivered"];
         noteOrder(caller, "answered");
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -40,10 +40,10 @@
 /// What goes wrong; set by PUT /faults.
 struct Faults
 {
-    bool outage = false;         ///< every call waits, then the connection closes
+    bool outage = false;           ///< every call waits, then the connection closes
     std::uint64_t loseAnswers = 0; ///< the next writes take effect, but their answers are lost
-    std::uint64_t slowMs = 0;    ///< every call takes this much longer
-    bool staleReads = false;     ///< reads see the objects as of the switch
+    std::uint64_t slowMs = 0;      ///< every call takes this much longer
+    bool staleReads = false;       ///< reads see the objects as of the switch
 };
 
 /// The object API: versions, conditional updates and watches.
@@ -81,8 +81,9 @@
     {
         const std::lock_guard guard(mutex_);
         faults = faults_;
-        ++counts_[path == "/v1/watch" ? "watches"
-                      : request.getMethod() == "GET" ? "reads" : "writes"];
+        ++counts_[path == "/v1/watch"            ? "watches"
+                  : request.getMethod() == "GET" ? "reads"
+                                                 : "writes"];
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(faults.slowMs));
     if (faults.outage) {
@@ -141,8 +142,8 @@
 {
     auto query = queryOf(request);
     const std::uint64_t after = std::stoull(query["after"]);
-    const auto until = std::chrono::steady_clock::now()
-        + std::chrono::milliseconds(std::stoll(query["waitMs"]));
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(query["waitMs"]));
     nlohmann::json changes = nlohmann::json::array();
     std::unique_lock lock(mutex_);
     changed_.wait_until(lock, until, [&] { return revision_ > after || faults_.outage; });
@@ -178,7 +179,7 @@
         return stored.value.is_null();
     const std::string condition = request.get("If-Match", "");
     return condition.empty()
-        || (!stored.value.is_null() && condition == fmt::format("\"{}\"", stored.version));
+           || (!stored.value.is_null() && condition == fmt::format("\"{}\"", stored.version));
 }
 
 void Platform::write(const std::string &key, HTTPServerRequest &request,
@@ -216,9 +217,10 @@
     if (!endpoint)
         return 2;
     Platform platform;
-    const auto server = serveHttp(*endpoint, PlatformThreads, [&platform](auto &request, auto &response) {
-        platform.handle(request, response);
-    });
+    const auto server =
+        serveHttp(*endpoint, PlatformThreads, [&platform](auto &request, auto &response) {
+            platform.handle(request, response);
+        });
     waitForStop();
     std::_Exit(0);
 }
