--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -101,6 +101,10 @@
                     [this](const Membership::SuspectPeer &peer) {
                         writer_.suspect(peer.name, peer.incarnation);
                     },
+                    [this](const Membership::ForgetPeer &peer) {
+                        writer_.forget(peer.name, peer.incarnation);
+                    },
+                    [this](const Tunnel::StateNotice &notice) { watcher_.note(notice); },
                     [this] { watcher_.hurry(); }});
 }
 
--- a/src/daemon/balancerprocess.cpp
+++ b/src/daemon/balancerprocess.cpp
@@ -57,6 +57,7 @@
     Control::Watcher watcher(
         process.platform, process.peers, std::random_device()(),
         [&forwarder](const Control::ClusterView &view) { forwarder.setTable(view.table()); });
+    forwarder.start([&watcher](const Tunnel::StateNotice &notice) { watcher.note(notice); });
     const auto state = [&] { return balancerState(process, forwarder, watcher); };
     auto metrics = std::make_shared<ProcessMetrics>(state);
     const Observability::AdminServer admin(process.admin, metrics, state, [&watcher] {
--- a/src/daemon/processmetrics.cpp
+++ b/src/daemon/processmetrics.cpp
@@ -26,9 +26,9 @@
 /// Members of these objects are label values of one metric.
 static bool hasCauses(const std::string &path)
 {
-    static const std::set<std::string> Paths{"/packets/dropped", "/packets/faults",
+    static const std::set<std::string> paths{"/packets/dropped", "/packets/faults",
                                              "/requests/refused", "/flows/transfers"};
-    return Paths.contains(path);
+    return paths.contains(path);
 }
 
 static ClientMetric gauge(double value)
@@ -52,7 +52,8 @@
         return;
     }
     for (const auto &[key, value] : object.items()) {
-        const std::string memberPath = path + '/' + key;
+        std::string memberPath = path + '/';
+        memberPath += key;
         if (value.is_object())
             collect(value, memberPath, families);
         else if (value.is_number())
--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -18,6 +18,10 @@
 static constexpr std::chrono::milliseconds MoveRetryPause{300};
 static constexpr std::chrono::seconds RefusalGrace{2};
 static constexpr std::chrono::minutes TransferReplyLifetime{2};
+static constexpr std::chrono::seconds StateNoticeInterval{1};
+static constexpr std::chrono::seconds BalancerLifetime{60};
+static constexpr std::size_t MaxBalancers = 64;
+static constexpr std::size_t MaxNoticedPeers = 32;
 static constexpr std::size_t MaxMovesInProgress = 32;
 static constexpr std::size_t MaxBatchesPerTurn = 8;
 static constexpr std::size_t MaxOutgoingBytes = 256 * 1024;
@@ -35,7 +39,8 @@
     , runner_(io_, settings_.backend,
               {[this](const auto &flow, const std::string &bytes) { write(flow, bytes); },
                [this](const auto &flow, bool keepsOpen) { endAnswer(flow, keepsOpen); },
-               [this](const auto &flow) { breakOff(flow); }})
+               [this](const auto &flow) { breakOff(flow); },
+               [this](const auto &flow, const auto &request) { giveBack(flow, request); }})
     , health_(io_, settings_.backend, [this](BackendState state) { onBackendState(state); })
     , prober_(self_, std::uint64_t(self_.instance) ^ std::uint64_t(self_.incarnation))
     , nextTransfer_(std::uint64_t(self_.instance) ^ (std::uint64_t(self_.incarnation) << 20))
@@ -106,11 +111,11 @@
         if (count == 0)
             return;
         for (std::size_t index = 0; index < count; ++index)
-            onDatagram(received_.datagram(index));
+            onDatagram(received_.datagram(index), received_.sender(index));
     }
 }
 
-void AgentTraffic::onDatagram(Tunnel::Bytes bytes)
+void AgentTraffic::onDatagram(Tunnel::Bytes bytes, const Model::Endpoint &sender)
 {
     ++counters_.received;
     const auto received = Tunnel::decodeDatagram(bytes);
@@ -122,8 +127,11 @@
     if (table_ && datagram.generation > table_->generation())
         handlers_.generationMissed();
 
-    if (const auto *header = std::get_if<Tunnel::PacketHeader>(&datagram.content))
+    if (const auto *header = std::get_if<Tunnel::PacketHeader>(&datagram.content)) {
+        if (header->passes == 0)
+            noteBalancer(sender);
         return onPacket(datagram, *header, received->packet);
+    }
     if (datagram.service != service_) {
         ++counters_.drops[std::size_t(Flows::DropCause::OtherService)];
         return;
@@ -135,6 +143,28 @@
         carryOut(prober_.onProbe(now, *probe));
     else if (const auto *answer = std::get_if<Tunnel::ProbeAnswer>(&datagram.content))
         carryOut(prober_.onAnswer(*answer));
+    else if (const auto *notice = std::get_if<Tunnel::StateNotice>(&datagram.content))
+        handlers_.stateNoticed(*notice);
+}
+
+void AgentTraffic::noteBalancer(const Model::Endpoint &sender)
+{
+    if (balancers_.size() < MaxBalancers || balancers_.contains(sender))
+        balancers_[sender] = std::chrono::steady_clock::now();
+}
+
+/// Tells the balancers that send here, and the peers, what the platform may not be able to.
+void AgentTraffic::sendStateNotice(const Tunnel::StateNotice &notice)
+{
+    for (const auto &[balancer, seen] : balancers_)
+        sendControl(balancer, {service_, {}, notice});
+    if (!serviceTable_)
+        return;
+    std::size_t told = 0;
+    for (const Model::Instance &peer : serviceTable_->instances()) {
+        if (peer.name != settings_.self.name && told++ < MaxNoticedPeers)
+            sendControl(peer.tunnel, {service_, {}, notice});
+    }
 }
 
 void AgentTraffic::onPacket(const Tunnel::Datagram &datagram, const Tunnel::PacketHeader &header,
@@ -206,8 +236,14 @@
             sendControl(probe->receiver.tunnel, {service_, {}, probe->probe});
         else if (const auto *answer = std::get_if<Membership::SendAnswer>(&action))
             sendControl(answer->receiver.tunnel, {service_, {}, answer->answer});
-        else
-            handlers_.peerSuspect(std::get<Membership::SuspectPeer>(action));
+        else if (const auto *suspect = std::get_if<Membership::SuspectPeer>(&action)) {
+            const Tunnel::StateNotice notice{Model::instanceId(suspect->name), suspect->incarnation,
+                                             Model::InstanceState::Suspect};
+            handlers_.peerSuspect(*suspect);
+            handlers_.stateNoticed(notice);
+            sendStateNotice(notice);
+        } else
+            handlers_.peerForgotten(std::get<Membership::ForgetPeer>(action));
     }
 }
 
@@ -350,6 +386,14 @@
     sessions_.erase(flow);
 }
 
+/// The request runs where a peer takes its flow over.
+void AgentTraffic::giveBack(const Model::FlowKey &flow, const Requests::HttpRequest &request)
+{
+    if (Session *const session = find(flow))
+        session->reader.putBack(request);
+    health_.noteUnreachable();
+}
+
 void AgentTraffic::closeFlow(const Model::FlowKey &key)
 {
     const Model::FlowKey flow = key;
@@ -650,6 +694,8 @@
 void AgentTraffic::closeRemaining()
 {
     boost::asio::post(io_, [this] {
+        isLeaving_ = true;
+        nextStateNotice_ = {};
         std::vector<Model::FlowKey> flows;
         for (const auto &[flow, session] : sessions_) {
             if (!session.isMoving)
@@ -697,6 +743,14 @@
     }
     if (state_ != Model::InstanceState::Ready)
         moveFlows(now);
+    if (state_ != Model::InstanceState::Ready && now >= nextStateNotice_) {
+        nextStateNotice_ = now + StateNoticeInterval;
+        // Peers that leave are asked last, as if they were suspect.
+        const auto state = isLeaving_ ? Model::InstanceState::Suspect : state_;
+        sendStateNotice({self_.instance, self_.incarnation, state});
+    }
+    std::erase_if(balancers_,
+                  [now](const auto &entry) { return now - entry.second > BalancerLifetime; });
     while (!transferOrder_.empty() && now - transferOrder_.front().first > TransferReplyLifetime) {
         transferReplies_.erase(transferOrder_.front().second);
         transferOrder_.pop_front();
--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -70,6 +70,8 @@
     {
         std::function<void(Model::InstanceState)> stateChanged;
         std::function<void(const Membership::SuspectPeer &)> peerSuspect;
+        std::function<void(const Membership::ForgetPeer &)> peerForgotten;
+        std::function<void(const Tunnel::StateNotice &)> stateNoticed;
         std::function<void()> generationMissed;
     };
 
@@ -124,7 +126,9 @@
     void run();
     void waitForPackets();
     void receivePackets();
-    void onDatagram(Tunnel::Bytes bytes);
+    void onDatagram(Tunnel::Bytes bytes, const Model::Endpoint &sender);
+    void noteBalancer(const Model::Endpoint &sender);
+    void sendStateNotice(const Tunnel::StateNotice &notice);
     void onPacket(const Tunnel::Datagram &datagram, const Tunnel::PacketHeader &header,
                   Tunnel::Bytes packet);
     void passOn(const Tunnel::Datagram &datagram, const Tunnel::PacketHeader &header,
@@ -148,6 +152,7 @@
     void write(const Model::FlowKey &flow, const std::string &bytes);
     void endAnswer(const Model::FlowKey &flow, bool keepsOpen);
     void breakOff(const Model::FlowKey &flow);
+    void giveBack(const Model::FlowKey &flow, const Requests::HttpRequest &request);
     void closeFlow(const Model::FlowKey &flow);
     Session *find(const Model::FlowKey &flow);
 
@@ -196,7 +201,11 @@
     std::size_t movesInProgress_ = 0;
     std::uint64_t nextTransfer_;
 
+    std::map<Model::Endpoint, TimePoint> balancers_; ///< who sent packets lately
+    TimePoint nextStateNotice_;
+
     bool drainAsked_ = false;
+    bool isLeaving_ = false;
     Model::InstanceState state_ = Model::InstanceState::Draining;
     TimePoint readySince_;
     TimePoint drainingSince_;
--- a/src/libs/agent/backendhealth.cpp
+++ b/src/libs/agent/backendhealth.cpp
@@ -88,6 +88,13 @@
     wait();
 }
 
+void BackendHealth::noteUnreachable()
+{
+    failures_ = FailuresUntilGone;
+    if (state_ != BackendState::Starting)
+        change(BackendState::Gone);
+}
+
 void BackendHealth::change(BackendState state)
 {
     if (state == state_)
--- a/src/libs/agent/backendhealth.h
+++ b/src/libs/agent/backendhealth.h
@@ -31,6 +31,9 @@
     /// Begins to ask.
     void start();
 
+    /// Notes that a request could not connect.
+    void noteUnreachable();
+
     BackendState state() const { return state_; }
 
 private:
--- a/src/libs/agent/requestrunner.cpp
+++ b/src/libs/agent/requestrunner.cpp
@@ -352,7 +352,7 @@
         if (!callerIsGone)
             sink_.breakOff(flow);
     } else if (failure == BackendFailure::NotConnected) {
-        refuse(id, RefusalCause::BackendUnreachable, std::chrono::seconds(1));
+        giveBack(id);
     } else {
         ++counters_.unknown;
         answerWhole(id, Requests::unknownOutcomeAnswer(), false);
@@ -373,6 +373,20 @@
     return true;
 }
 
+/// Gives a request that certainly did not run back to its flow.
+void RequestRunner::giveBack(Id id)
+{
+    Running &running = *find(id);
+    if (!running.journalKey.empty())
+        journal_.forget(running.journalKey);
+    const Model::FlowKey flow = running.flow;
+    Requests::HttpRequest request = std::move(running.request);
+    const bool callerIsGone = running.callerIsGone;
+    release(id);
+    if (!callerIsGone)
+        sink_.unreachable(flow, std::move(request));
+}
+
 void RequestRunner::release(Id id)
 {
     const auto entry = running_.find(id);
--- a/src/libs/agent/requestrunner.h
+++ b/src/libs/agent/requestrunner.h
@@ -49,6 +49,8 @@
         std::function<void(const Model::FlowKey &, bool keepsOpen)> end;
         /// The answer broke off after it began; the caller must notice.
         std::function<void(const Model::FlowKey &)> breakOff;
+        /// The backend server could not be reached, so that the request has not run.
+        std::function<void(const Model::FlowKey &, Requests::HttpRequest)> unreachable;
     };
 
     RequestRunner(boost::asio::io_context &io, const Model::Endpoint &backend, Sink sink);
@@ -125,6 +127,7 @@
     void onFailed(Id id, BackendFailure failure);
     bool retry(Running &running, Id id);
     void sendPart(Running &running, std::string bytes);
+    void giveBack(Id id);
     void answerWhole(Id id, std::string answer, bool keepsOpen);
     void release(Id id);
     Running *find(Id id);
--- a/src/libs/balancer/forwarder.cpp
+++ b/src/libs/balancer/forwarder.cpp
@@ -44,13 +44,19 @@
 Forwarder::Forwarder(const Model::Endpoint &tunnel)
     : socket_(Tunnel::openUdpSocket(tunnel))
     , table_(std::make_shared<Routing::RoutingTable>())
-    , thread_([this] { run(); })
 {}
 
+void Forwarder::start(Noticed noticed)
+{
+    noticed_ = std::move(noticed);
+    thread_ = std::thread([this] { run(); });
+}
+
 Forwarder::~Forwarder()
 {
     stopping_ = true;
-    thread_.join();
+    if (thread_.joinable())
+        thread_.join();
     close(socket_);
 }
 
@@ -80,11 +86,22 @@
         if (packet)
             queue(decide(*batchTable_, *packet), *packet);
         else
-            ++counters_.drops[std::size_t(DropCause::NotGre)];
+            onOtherDatagram(received_.datagram(index));
     }
     counters_.forwarded += outgoing_.flush(socket_);
 }
 
+void Forwarder::onOtherDatagram(Tunnel::Bytes datagram)
+{
+    const auto received = Tunnel::decodeDatagram(datagram);
+    const auto *const notice =
+        received ? std::get_if<Tunnel::StateNotice>(&received->datagram.content) : nullptr;
+    if (notice)
+        noticed_(*notice);
+    else
+        ++counters_.drops[std::size_t(DropCause::NotGre)];
+}
+
 void Forwarder::queue(const Decision &decision, Tunnel::Bytes packet)
 {
     if (const auto *forward = std::get_if<Forward>(&decision)) {
--- a/src/libs/balancer/forwarder.h
+++ b/src/libs/balancer/forwarder.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -53,12 +54,18 @@
 class Forwarder
 {
 public:
-    /// Binds \a tunnel and starts the thread. Throws std::system_error if it can't be bound.
+    /// Takes what an agent says of an instance. Called on the traffic thread.
+    using Noticed = std::function<void(const Tunnel::StateNotice &)>;
+
+    /// Binds \a tunnel. Throws std::system_error if it can't be bound.
     explicit Forwarder(const Model::Endpoint &tunnel);
     ~Forwarder();
     Forwarder(const Forwarder &) = delete;
     Forwarder &operator=(const Forwarder &) = delete;
 
+    /// Starts the thread. Called once.
+    void start(Noticed noticed);
+
     /// Uses \a table from the next batch of packets on. Thread-safe.
     void setTable(std::shared_ptr<const Routing::RoutingTable> table);
 
@@ -70,7 +77,10 @@
     void forwardBatch(std::size_t count);
     void queue(const Decision &decision, Tunnel::Bytes packet);
 
+    void onOtherDatagram(Tunnel::Bytes datagram);
+
     int socket_;
+    Noticed noticed_;
     std::atomic<bool> stopping_ = false;
     std::atomic<std::shared_ptr<const Routing::RoutingTable>> table_;
     std::shared_ptr<const Routing::RoutingTable> batchTable_;
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -59,9 +59,52 @@
         });
 }
 
+bool ClusterView::apply(TimePoint now, const Tunnel::StateNotice &notice)
+{
+    for (const Model::Instance &instance : registry_.instances()) {
+        const bool isMeant = Model::instanceId(instance.name) == notice.instance
+                             && instance.incarnation == notice.incarnation;
+        // A notice says less than an announcement: it can only take an instance out of new work.
+        if (!isMeant || instance.state == notice.state
+            || instance.state == Model::InstanceState::Suspect)
+            continue;
+        const Notice updated{notice.incarnation, notice.state, registry_.versionOf(instance.name),
+                             now};
+        const auto [entry, isNew] = notices_.try_emplace(notice.instance, updated);
+        const bool changed = isNew || entry->second.state != notice.state
+                             || entry->second.incarnation != notice.incarnation;
+        entry->second = updated;
+        if (changed)
+            rebuild();
+        return changed;
+    }
+    return false;
+}
+
+bool ClusterView::expireNotices(TimePoint now)
+{
+    const auto removed = std::erase_if(
+        notices_, [now](const auto &entry) { return now - entry.second.since >= NoticeLifetime; });
+    if (removed > 0)
+        rebuild();
+    return removed > 0;
+}
+
+std::vector<Model::Instance> ClusterView::instancesWithNotices() const
+{
+    std::vector<Model::Instance> instances = registry_.instances();
+    for (Model::Instance &instance : instances) {
+        const auto notice = notices_.find(Model::instanceId(instance.name));
+        if (notice != notices_.end() && notice->second.incarnation == instance.incarnation
+            && notice->second.version == registry_.versionOf(instance.name))
+            instance.state = notice->second.state;
+    }
+    return instances;
+}
+
 void ClusterView::rebuild()
 {
-    table_ = Routing::RoutingTable::build(gate_.current(), registry_.instances(), *table_,
+    table_ = Routing::RoutingTable::build(gate_.current(), instancesWithNotices(), *table_,
                                           ++tableVersion_);
 }
 
--- a/src/libs/control/clusterview.h
+++ b/src/libs/control/clusterview.h
@@ -4,13 +4,19 @@
 #include "membership/instanceregistry.h"
 #include "platform/objectclient.h"
 #include "routing/routingtable.h"
+#include "tunnel/datagram.h"
 
+#include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 
 /// Keeps a process in step with the platform.
 namespace Control {
 
+/// How long a notice counts without being repeated.
+constexpr std::chrono::seconds NoticeLifetime{15};
+
 /// What a process knows of the configuration and the instances.
 ///
 /// Every input may be stale, repeated or out of order. Without sockets, threads or clocks; not
@@ -18,6 +24,8 @@
 class ClusterView
 {
 public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
     ClusterView();
 
     /// Takes a whole listing of the platform or of a peer. Returns whether anything changed.
@@ -26,6 +34,13 @@
     /// Takes changes that a watch reported. Returns whether anything changed.
     bool apply(const Platform::Changes &changes);
 
+    /// Takes what an instance or its peers say of its state. It counts until the platform says
+    /// something newer, and for NoticeLifetime at most. Returns whether anything changed.
+    bool apply(TimePoint now, const Tunnel::StateNotice &notice);
+
+    /// Drops notices that are too old. Returns whether anything changed.
+    bool expireNotices(TimePoint now);
+
     /// Returns the table as of the last change. Safe to share with other threads.
     std::shared_ptr<const Routing::RoutingTable> table() const { return table_; }
 
@@ -40,11 +55,21 @@
     std::size_t refusedConfigurations() const { return refusedConfigurations_; }
 
 private:
+    struct Notice
+    {
+        Model::Incarnation incarnation{};
+        Model::InstanceState state{};
+        Platform::Version version{}; ///< of the announcement that the notice is newer than
+        TimePoint since;
+    };
+
+    std::vector<Model::Instance> instancesWithNotices() const;
     bool offerConfiguration(Platform::Version version, const std::string &value);
     void rebuild();
 
     Configuration::GenerationGate gate_;
     Membership::InstanceRegistry registry_;
+    std::map<Model::InstanceId, Notice> notices_;
     std::shared_ptr<const Routing::RoutingTable> table_;
     Platform::Version configurationVersion_{};
     Platform::Revision revision_{};
--- a/src/libs/control/platformwriter.cpp
+++ b/src/libs/control/platformwriter.cpp
@@ -46,11 +46,21 @@
 }
 
 void PlatformWriter::suspect(const std::string &name, Model::Incarnation incarnation)
+{
+    add({name, incarnation, false});
+}
+
+void PlatformWriter::forget(const std::string &name, Model::Incarnation incarnation)
+{
+    add({name, incarnation, true});
+}
+
+void PlatformWriter::add(const Suspicion &suspicion)
 {
     {
         const std::lock_guard guard(mutex_);
         if (suspicions_.size() < MaxSuspicions)
-            suspicions_.push_back({name, incarnation});
+            suspicions_.push_back(suspicion);
     }
     wake_.notify_all();
 }
@@ -146,15 +156,18 @@
         return;
     auto instance = Membership::decodeAnnouncement(object->value);
     // Another peer was first, or the suspect is back under a new incarnation.
+    const bool isSuspect = instance && instance->state == Model::InstanceState::Suspect;
     if (!instance || instance->incarnation != suspicion.incarnation
-        || instance->state == Model::InstanceState::Suspect)
+        || isSuspect != suspicion.forgets)
         return;
     instance->state = Model::InstanceState::Suspect;
     const auto written = attempt([&] {
+        if (suspicion.forgets)
+            return client_.remove(key, object->version);
         return client_.write(key, Membership::encodeAnnouncement(*instance),
                              Platform::IfVersion{object->version});
     });
-    log(Level::Warning, "peer-suspect",
+    log(Level::Warning, suspicion.forgets ? "peer-forgotten" : "peer-suspect",
         {{"instance", suspicion.name},
          {"written", std::holds_alternative<Platform::Version>(written)}});
 }
--- a/src/libs/control/platformwriter.h
+++ b/src/libs/control/platformwriter.h
@@ -33,6 +33,9 @@
     /// Announces that the peer called \a name, in this \a incarnation, is suspect. Thread-safe.
     void suspect(const std::string &name, Model::Incarnation incarnation);
 
+    /// Deletes the announcement of the peer called \a name if it is still suspect. Thread-safe.
+    void forget(const std::string &name, Model::Incarnation incarnation);
+
     /// Compares the announcement in \a view with the wanted one. Thread-safe.
     void onView(const ClusterView &view);
 
@@ -47,10 +50,12 @@
     {
         std::string name;
         Model::Incarnation incarnation{};
+        bool forgets = false;
     };
 
     void run();
     void carryOut(const AnnouncementStep &step);
+    void add(const Suspicion &suspicion);
     void writeSuspicion(const Suspicion &suspicion);
     void notice();
 
--- a/src/libs/control/watcher.cpp
+++ b/src/libs/control/watcher.cpp
@@ -12,6 +12,8 @@
 using Platform::attempt;
 
 static constexpr std::chrono::milliseconds CallTimeout{2000};
+static constexpr std::chrono::milliseconds NoticeCheckInterval{1000};
+static constexpr std::size_t MaxPendingNotices = 64;
 
 Watcher::Watcher(const Model::Endpoint &platform, std::vector<Model::Endpoint> peers,
                  std::uint64_t seed, Changed changed)
@@ -21,6 +23,7 @@
     , policy_(peers_.size(), seed)
     , lastAnswer_(std::chrono::steady_clock::now())
     , thread_([this] { run(); })
+    , noticeThread_([this] { applyNotices(); })
 {}
 
 Watcher::~Watcher()
@@ -30,8 +33,10 @@
         stopping_ = true;
     }
     wake_.notify_all();
+    noticed_.notify_all();
     client_.abort();
     thread_.join();
+    noticeThread_.join();
 }
 
 Platform::Listing Watcher::snapshot() const
@@ -85,14 +90,34 @@
 void Watcher::apply(const Update &update)
 {
     noteAnswer();
-    bool changed = false;
+    const std::lock_guard guard(mutex_);
+    if (view_.apply(update))
+        changed_(view_);
+}
+
+void Watcher::note(const Tunnel::StateNotice &notice)
+{
     {
         const std::lock_guard guard(mutex_);
-        changed = view_.apply(update);
+        if (notices_.size() < MaxPendingNotices)
+            notices_.push_back(notice);
+    }
+    noticed_.notify_all();
+}
+
+void Watcher::applyNotices()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        noticed_.wait_for(lock, NoticeCheckInterval,
+                          [this] { return stopping_ || !notices_.empty(); });
+        const auto now = std::chrono::steady_clock::now();
+        bool changed = view_.expireNotices(now);
+        for (; !notices_.empty(); notices_.pop_front())
+            changed |= view_.apply(now, notices_.front());
+        if (changed)
+            changed_(view_);
     }
-    // Only this thread changes the view, so it may be read without the lock here.
-    if (changed)
-        changed_(view_);
 }
 
 void Watcher::list()
--- a/src/libs/control/watcher.h
+++ b/src/libs/control/watcher.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <thread>
@@ -13,11 +14,12 @@
 
 namespace Control {
 
-/// The control thread of a process: keeps a ClusterView up to date with blocking calls.
+/// The control thread of a process: keeps a ClusterView up to date with blocking calls. A second
+/// thread applies notices while the first one waits for the platform.
 class Watcher
 {
 public:
-    /// Called on the control thread after each change.
+    /// Called after each change; must not call back into the watcher.
     using Changed = std::function<void(const ClusterView &)>;
 
     /// Begins to watch \a platform. While it is down, asks the admin endpoints of \a peers.
@@ -41,11 +43,16 @@
     /// Returns the calls of the platform so far. Thread-safe.
     std::uint64_t platformCalls() const { return client_.callCount(); }
 
+    /// Takes a notice of an instance's state, to be applied on a thread of the watcher.
+    /// Thread-safe.
+    void note(const Tunnel::StateNotice &notice);
+
     /// Ends a pause early, since a newer configuration is known to exist. Thread-safe.
     void hurry();
 
 private:
     void run();
+    void applyNotices();
     void list();
     void watch(Platform::Revision after);
     void askPeer(std::size_t index);
@@ -67,7 +74,10 @@
     bool stopping_ = false;
     bool hurried_ = false;
     std::atomic<std::chrono::steady_clock::time_point> lastAnswer_;
+    std::deque<Tunnel::StateNotice> notices_;
+    std::condition_variable noticed_;
     std::thread thread_;
+    std::thread noticeThread_;
 };
 
 } // namespace Control
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -41,6 +41,20 @@
     return {PassOn{header}, std::nullopt, false};
 }
 
+/// Returns \a first and what of \a rest from \a position on is not in it, as far as there is room.
+static Routing::Chain joined(Routing::Chain first, const Routing::Chain &rest, std::size_t position)
+{
+    for (; position < rest.size(); ++position) {
+        const auto isSame = [&](const Routing::Hop &hop) {
+            return hop.instance == rest[position].instance;
+        };
+        if (first.size() < Routing::MaxChainLength
+            && std::none_of(first.begin(), first.end(), isSame))
+            first.append(rest[position]);
+    }
+    return first;
+}
+
 /// Sends the packet to the owner that is known. The rest of the chain follows, so that a redirect
 /// that is out of date costs a detour and no flow.
 Decision FlowDirector::passToOwner(const Tunnel::PacketHeader &header, const Redirect &redirect)
@@ -48,16 +62,7 @@
     if (header.passes >= MaxPasses)
         return drop(DropCause::TooManyPasses);
     Tunnel::PacketHeader onward = header;
-    onward.chain = {};
-    onward.chain.append(redirect.owner);
-    if (redirect.earlierOwner)
-        onward.chain.append(*redirect.earlierOwner);
-    for (std::size_t next = header.position + 1; next < header.chain.size(); ++next) {
-        const Routing::Hop &hop = header.chain[next];
-        const bool isIncluded = hop == redirect.owner || hop == redirect.earlierOwner;
-        if (!isIncluded && onward.chain.size() < Routing::MaxChainLength)
-            onward.chain.append(hop);
-    }
+    onward.chain = joined(redirect.claimants, header.chain, header.position + 1u);
     onward.position = 0;
     ++onward.passes;
     return {PassOn{onward}, std::nullopt, false};
@@ -222,15 +227,17 @@
 void FlowDirector::redirect(TimePoint now, const Tunnel::ClaimedFlow &flow,
                             const Routing::Hop &owner)
 {
-    const auto [entry, isNew] =
-        redirects_.try_emplace(flow.key, Redirect{owner, flow.epoch, std::nullopt, now});
-    Redirect &known = entry->second;
-    if (isNew || flow.epoch < known.epoch)
-        return;
-    if (known.owner.instance != owner.instance)
-        known.earlierOwner = known.owner;
-    known.owner = owner;
-    known.epoch = flow.epoch;
+    Redirect &known = redirects_[flow.key];
+    Routing::Chain claimants;
+    // A claim with a smaller epoch may still be right: the flow before under the same key may have
+    // moved more often. It is asked second.
+    const bool isNewest = flow.epoch >= known.epoch || known.claimants.isEmpty();
+    if (!isNewest)
+        claimants.append(known.claimants[0]);
+    if (claimants.isEmpty() || claimants[0].instance != owner.instance)
+        claimants.append(owner);
+    known.claimants = joined(claimants, known.claimants, 0);
+    known.epoch = std::max(known.epoch, flow.epoch);
     known.lastUse = now;
 }
 
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -154,13 +154,12 @@
         TimePoint lastNotice;
     };
 
-    /// Who says to own a flow, newest first. A half-open flow may have two answering agents, of
-    /// which only the caller's ACK tells the owner.
+    /// Who says to own a flow, newest claim first. A half-open flow may have several answering
+    /// agents, of which only the caller's ACK tells the owner.
     struct Redirect
     {
-        Routing::Hop owner;
+        Routing::Chain claimants;
         Tunnel::Epoch epoch{};
-        std::optional<Routing::Hop> earlierOwner;
         TimePoint lastUse;
     };
 
--- a/src/libs/membership/prober.cpp
+++ b/src/libs/membership/prober.cpp
@@ -26,7 +26,7 @@
     random_ = random();
     peers_ = std::move(peers);
     nextPeer_ = 0;
-    std::erase_if(failedRounds_, [this](const auto &entry) {
+    std::erase_if(failures_, [this](const auto &entry) {
         return std::none_of(peers_.begin(), peers_.end(), [&](const Model::Instance &peer) {
             return Model::instanceId(peer.name) == entry.first;
         });
@@ -43,7 +43,7 @@
         if (!round_->askedOthers && elapsed >= DirectTimeout)
             askOthers(actions);
         else if (elapsed >= DirectTimeout + IndirectTimeout)
-            endFailedRound(actions);
+            endFailedRound(now, actions);
     }
     if (!round_ && now >= nextRound_)
         startRound(now, actions);
@@ -76,14 +76,19 @@
     }
 }
 
-void Prober::endFailedRound(std::vector<ProberAction> &actions)
+void Prober::endFailedRound(TimePoint now, std::vector<ProberAction> &actions)
 {
     const Model::Instance target = round_->target;
+    const TimePoint start = round_->start;
     round_.reset();
-    int &failed = failedRounds_[Model::instanceId(target.name)];
-    ++failed;
-    if (failed >= FailedRoundsUntilSuspect && target.state != Model::InstanceState::Suspect)
+    Failures &failures =
+        failures_.try_emplace(Model::instanceId(target.name), Failures{0, start}).first->second;
+    ++failures.rounds;
+    const bool isSuspect = target.state == Model::InstanceState::Suspect;
+    if (!isSuspect && failures.rounds >= FailedRoundsUntilSuspect)
         actions.push_back(SuspectPeer{target.name, target.incarnation});
+    if (isSuspect && now - failures.since >= SuspectLifetime)
+        actions.push_back(ForgetPeer{target.name, target.incarnation});
 }
 
 Model::Incarnation Prober::knownIncarnation(Model::InstanceId instance) const
@@ -113,7 +118,7 @@
         return {SendAnswer{asked.asker, {asked.sequence, answer.target, answer.asker}}};
     }
     if (round_ && round_->sequence == answer.sequence) {
-        failedRounds_.erase(answer.target.instance);
+        failures_.erase(answer.target.instance);
         if (answer.asker == self_.incarnation)
             lastConfirmed_ = round_->start;
         round_.reset();
--- a/src/libs/membership/prober.h
+++ b/src/libs/membership/prober.h
@@ -28,6 +28,9 @@
 /// Failed rounds in a row after which a peer is suspect.
 constexpr int FailedRoundsUntilSuspect = 2;
 
+/// How long a suspect peer may stay without an answer before its announcement is deleted.
+constexpr std::chrono::minutes SuspectLifetime{2};
+
 /// Send \c probe to \c receiver.
 struct SendProbe
 {
@@ -49,7 +52,14 @@
     Model::Incarnation incarnation{};
 };
 
-using ProberAction = std::variant<SendProbe, SendAnswer, SuspectPeer>;
+/// The suspect peer has not answered for SuspectLifetime.
+struct ForgetPeer
+{
+    std::string name;
+    Model::Incarnation incarnation{};
+};
+
+using ProberAction = std::variant<SendProbe, SendAnswer, SuspectPeer, ForgetPeer>;
 
 /// Finds peers that died, in the manner of SWIM: one direct probe at a time, then indirect ones.
 ///
@@ -87,6 +97,12 @@
         bool askedOthers = false;
     };
 
+    struct Failures
+    {
+        int rounds = 0;
+        TimePoint since;
+    };
+
     struct Relay
     {
         Routing::Hop asker;
@@ -97,7 +113,7 @@
     void startRound(TimePoint now, std::vector<ProberAction> &actions);
     void askOthers(std::vector<ProberAction> &actions);
     Model::Incarnation knownIncarnation(Model::InstanceId instance) const;
-    void endFailedRound(std::vector<ProberAction> &actions);
+    void endFailedRound(TimePoint now, std::vector<ProberAction> &actions);
 
     Routing::Hop self_;
     std::uint64_t nextSequence_;
@@ -107,7 +123,7 @@
     std::optional<Round> round_;
     TimePoint nextRound_;
     TimePoint lastConfirmed_;
-    std::map<Model::InstanceId, int> failedRounds_;
+    std::map<Model::InstanceId, Failures> failures_;
     std::map<std::uint64_t, Relay> relays_;
 };
 
--- a/src/libs/requests/httpmessage.cpp
+++ b/src/libs/requests/httpmessage.cpp
@@ -65,8 +65,6 @@
         return "deadline-passed";
     case RefusalCause::BackendShed:
         return "backend-shed";
-    case RefusalCause::BackendUnreachable:
-        return "backend-unreachable";
     case RefusalCause::Stopping:
         return "stopping";
     }
--- a/src/libs/requests/httpmessage.h
+++ b/src/libs/requests/httpmessage.h
@@ -46,15 +46,14 @@
 
 /// Why a request is refused. Each is also a label of the refusal metric.
 enum class RefusalCause {
-    QueueFull,          ///< the queue is at its bound
-    DeadlineTooClose,   ///< the wait would outlast the deadline
-    DeadlinePassed,     ///< the deadline passed while the request waited
-    BackendShed,        ///< the backend server shed the request before running it
-    BackendUnreachable, ///< no connection to the backend server
-    Stopping,           ///< the agent stops and no peer could take the flow
+    QueueFull,        ///< the queue is at its bound
+    DeadlineTooClose, ///< the wait would outlast the deadline
+    DeadlinePassed,   ///< the deadline passed while the request waited
+    BackendShed,      ///< the backend server shed the request before running it
+    Stopping,         ///< the agent stops and no peer could take the flow
 };
 
-constexpr std::size_t RefusalCauseCount = 6;
+constexpr std::size_t RefusalCauseCount = 5;
 
 /// Returns the name of \a cause in metrics and answers. Thread-safe.
 const char *refusalText(RefusalCause cause);
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -8,6 +8,9 @@
 namespace Routing {
 
 static constexpr std::uint16_t NoInstance = std::numeric_limits<std::uint16_t>::max();
+/// With fewer live hops among the ranked ones, a chain is ranked anew.
+static constexpr std::size_t LeastLiveHops = 2;
+
 static constexpr double TwoToThe53 = 9007199254740992.0;
 
 static std::uint64_t mix(std::uint64_t value)
@@ -32,11 +35,41 @@
     return flowHash % BucketCount;
 }
 
+static bool anyState(Model::InstanceState)
+{
+    return true;
+}
+
 static bool sameRank(const Model::Instance &left, const Model::Instance &right)
 {
     return left.name == right.name && left.capacity == right.capacity;
 }
 
+/// Ranks the instances that \a isWanted anew for \a bucket.
+template<typename F>
+ServiceTable::Rank ServiceTable::rankAll(std::size_t bucket, F isWanted) const
+{
+    Rank rank;
+    rank.fill(NoInstance);
+    std::array<double, MaxChainLength> scores{};
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        const Model::Instance &instance = instances_[index];
+        if (!isWanted(instance.state))
+            continue;
+        double candidate = score(ids_[index], instance.capacity, bucket);
+        auto candidateIndex = std::uint16_t(index);
+        for (std::size_t place = 0; place < rank.size(); ++place) {
+            if (rank[place] != NoInstance && scores[place] >= candidate)
+                continue;
+            std::swap(scores[place], candidate);
+            std::swap(rank[place], candidateIndex);
+            if (candidateIndex == NoInstance)
+                break;
+        }
+    }
+    return rank;
+}
+
 ServiceTable::ServiceTable(Model::Service service, std::vector<Model::Instance> instances)
     : service_(std::move(service))
     , id_(Model::serviceId(service_.name))
@@ -45,7 +78,7 @@
     indexInstances();
     buckets_.resize(BucketCount);
     for (std::size_t bucket = 0; bucket < BucketCount; ++bucket)
-        buckets_[bucket] = rankAll(bucket, false);
+        buckets_[bucket] = rankAll(bucket, anyState);
 }
 
 ServiceTable::ServiceTable(const ServiceTable &previous, std::vector<Model::Instance> instances)
@@ -84,7 +117,7 @@
             lostOne |= index == NoInstance;
         }
         if (lostOne) {
-            rank = rankAll(bucket, false);
+            rank = rankAll(bucket, anyState);
             continue;
         }
         for (std::uint16_t candidate : arrived) {
@@ -116,55 +149,44 @@
         ids_.push_back(Model::instanceId(instance.name));
 }
 
-ServiceTable::Rank ServiceTable::rankAll(std::size_t bucket, bool onlyReady) const
-{
-    Rank rank;
-    rank.fill(NoInstance);
-    std::array<double, MaxChainLength> scores{};
-    for (std::size_t index = 0; index < instances_.size(); ++index) {
-        const Model::Instance &instance = instances_[index];
-        if (onlyReady && instance.state != Model::InstanceState::Ready)
-            continue;
-        double candidate = score(ids_[index], instance.capacity, bucket);
-        auto candidateIndex = std::uint16_t(index);
-        for (std::size_t place = 0; place < rank.size(); ++place) {
-            if (rank[place] != NoInstance && scores[place] >= candidate)
-                continue;
-            std::swap(scores[place], candidate);
-            std::swap(rank[place], candidateIndex);
-            if (candidateIndex == NoInstance)
-                break;
-        }
-    }
-    return rank;
-}
-
 Hop ServiceTable::hopOf(std::uint16_t index) const
 {
     const Model::Instance &instance = instances_[index];
     return {ids_[index], instance.incarnation, instance.tunnel};
 }
 
+/// Appends the ranked instances that \a isWanted until \a chain is full.
+template<typename F>
+void ServiceTable::appendRanked(Chain &chain, const Rank &rank, F isWanted) const
+{
+    for (std::uint16_t index : rank) {
+        if (index == NoInstance || chain.size() == MaxChainLength)
+            return;
+        if (isWanted(instances_[index].state))
+            chain.append(hopOf(index));
+    }
+}
+
 Chain ServiceTable::chainFor(std::uint64_t flowHash, PacketKind kind) const
 {
     const std::size_t bucket = bucketOf(flowHash);
-    const bool onlyReady = kind == PacketKind::OpensFlow;
+    const bool opensFlow = kind == PacketKind::OpensFlow;
+    const auto isWanted = [opensFlow](Model::InstanceState state) {
+        return opensFlow ? state == Model::InstanceState::Ready
+                         : state != Model::InstanceState::Suspect;
+    };
     Chain chain;
-    for (std::uint16_t index : buckets_[bucket]) {
-        if (index == NoInstance)
-            break;
-        if (!onlyReady || instances_[index].state == Model::InstanceState::Ready)
-            chain.append(hopOf(index));
-    }
-    if (!chain.isEmpty() || !onlyReady)
-        return chain;
-
-    // Every ranked instance is draining or suspect, as at the end of many rentals.
-    for (std::uint16_t index : rankAll(bucket, true)) {
-        if (index == NoInstance)
-            break;
-        chain.append(hopOf(index));
-    }
+    appendRanked(chain, buckets_[bucket], isWanted);
+    // Most ranked instances drain at the end of many rentals, or are lost with a failure domain.
+    if (chain.size() < LeastLiveHops)
+        chain = {};
+    if (chain.isEmpty())
+        appendRanked(chain, rankAll(bucket, isWanted), isWanted);
+    // A suspect instance may still own flows; it is asked after the others.
+    if (!opensFlow)
+        appendRanked(chain, buckets_[bucket], [](Model::InstanceState state) {
+            return state == Model::InstanceState::Suspect;
+        });
     return chain;
 }
 
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -81,7 +81,10 @@
     using Rank = std::array<std::uint16_t, MaxChainLength>;
 
     void indexInstances();
-    Rank rankAll(std::size_t bucket, bool onlyReady) const;
+    template<typename F>
+    Rank rankAll(std::size_t bucket, F isWanted) const;
+    template<typename F>
+    void appendRanked(Chain &chain, const Rank &rank, F isWanted) const;
     Hop hopOf(std::uint16_t index) const;
 
     Model::Service service_;
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -39,6 +39,10 @@
       sender @9 :Hop;
       target @10 :Hop;       # whom the answer is about; another than the receiver asks to probe it
     }
+    stateNotice :group {
+      subject @14 :Hop;
+      suspect @15 :Bool;     # otherwise the subject drains
+    }
     probeAnswer :group {
       sequence @11 :UInt64;
       target @12 :Hop;
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(e6e9922764aec843);
 CAPNP_DECLARE_SCHEMA(b6fd5222cd40d4ae);
 CAPNP_DECLARE_SCHEMA(c65e1efca9e71c02);
+CAPNP_DECLARE_SCHEMA(f46147015776b983);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -70,11 +71,13 @@
     REDIRECTS,
     PROBE,
     PROBE_ANSWER,
+    STATE_NOTICE,
   };
   struct Packet;
   struct Redirects;
   struct Probe;
   struct ProbeAnswer;
+  struct StateNotice;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c582d2b525dee5a1, 5, 2)
@@ -144,6 +147,21 @@
   };
 };
 
+struct Datagram::StateNotice {
+  StateNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f46147015776b983, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Hop::Reader {
@@ -367,6 +385,9 @@
   inline bool isProbeAnswer() const;
   inline typename ProbeAnswer::Reader getProbeAnswer() const;
 
+  inline bool isStateNotice() const;
+  inline typename StateNotice::Reader getStateNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -418,6 +439,10 @@
   inline typename ProbeAnswer::Builder getProbeAnswer();
   inline typename ProbeAnswer::Builder initProbeAnswer();
 
+  inline bool isStateNotice();
+  inline typename StateNotice::Builder getStateNotice();
+  inline typename StateNotice::Builder initStateNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -822,6 +847,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::StateNotice::Reader {
+public:
+  typedef StateNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubject() const;
+  inline  ::Rpc::Hop::Reader getSubject() const;
+
+  inline bool getSuspect() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::StateNotice::Builder {
+public:
+  typedef StateNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubject();
+  inline  ::Rpc::Hop::Builder getSubject();
+  inline void setSubject( ::Rpc::Hop::Reader value);
+  inline  ::Rpc::Hop::Builder initSubject();
+  inline void adoptSubject(::capnp::Orphan< ::Rpc::Hop>&& value);
+  inline ::capnp::Orphan< ::Rpc::Hop> disownSubject();
+
+  inline bool getSuspect();
+  inline void setSuspect(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::StateNotice::Pipeline {
+public:
+  typedef StateNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Rpc::Hop::Pipeline getSubject();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t Hop::Reader::getInstance() const {
@@ -1083,6 +1195,29 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::ProbeAnswer::Builder(_builder);
 }
+inline bool Datagram::Reader::isStateNotice() const {
+  return which() == Datagram::STATE_NOTICE;
+}
+inline bool Datagram::Builder::isStateNotice() {
+  return which() == Datagram::STATE_NOTICE;
+}
+inline typename Datagram::StateNotice::Reader Datagram::Reader::getStateNotice() const {
+  KJ_IREQUIRE((which() == Datagram::STATE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StateNotice::Reader(_reader);
+}
+inline typename Datagram::StateNotice::Builder Datagram::Builder::getStateNotice() {
+  KJ_IREQUIRE((which() == Datagram::STATE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StateNotice::Builder(_builder);
+}
+inline typename Datagram::StateNotice::Builder Datagram::Builder::initStateNotice() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::STATE_NOTICE);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename Datagram::StateNotice::Builder(_builder);
+}
 inline bool Datagram::Packet::Reader::hasChain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1391,6 +1526,59 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::StateNotice::Reader::hasSubject() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::StateNotice::Builder::hasSubject() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Rpc::Hop::Reader Datagram::StateNotice::Reader::getSubject() const {
+  return ::capnp::_::PointerHelpers< ::Rpc::Hop>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Rpc::Hop::Builder Datagram::StateNotice::Builder::getSubject() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Hop>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Rpc::Hop::Pipeline Datagram::StateNotice::Pipeline::getSubject() {
+  return  ::Rpc::Hop::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::StateNotice::Builder::setSubject( ::Rpc::Hop::Reader value) {
+  ::capnp::_::PointerHelpers< ::Rpc::Hop>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Rpc::Hop::Builder Datagram::StateNotice::Builder::initSubject() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Hop>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::StateNotice::Builder::adoptSubject(
+    ::capnp::Orphan< ::Rpc::Hop>&& value) {
+  ::capnp::_::PointerHelpers< ::Rpc::Hop>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Rpc::Hop> Datagram::StateNotice::Builder::disownSubject() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Hop>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::StateNotice::Reader::getSuspect() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::StateNotice::Builder::getSuspect() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StateNotice::Builder::setSuspect(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 
 CAPNP_END_HEADER
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -75,6 +75,13 @@
     return encoded;
 }
 
+static void write(Rpc::Datagram::Builder root, const StateNotice &notice)
+{
+    auto group = root.initStateNotice();
+    writeHop(group.initSubject(), {notice.instance, notice.incarnation, {}});
+    group.setSuspect(notice.state == Model::InstanceState::Suspect);
+}
+
 void encodeDatagram(const Datagram &datagram, std::vector<std::byte> &encoded)
 {
     capnp::word scratch[ScratchWords] = {};
@@ -138,6 +145,14 @@
             Probe{probe.getSequence(), readHop(probe.getSender()), readHop(probe.getTarget())};
         return datagram;
     }
+    case Rpc::Datagram::STATE_NOTICE: {
+        const auto notice = root.getStateNotice();
+        const Routing::Hop subject = readHop(notice.getSubject());
+        datagram.content = StateNotice{subject.instance, subject.incarnation,
+                                       notice.getSuspect() ? Model::InstanceState::Suspect
+                                                           : Model::InstanceState::Draining};
+        return datagram;
+    }
     case Rpc::Datagram::PROBE_ANSWER: {
         const auto answer = root.getProbeAnswer();
         datagram.content = ProbeAnswer{answer.getSequence(), readHop(answer.getTarget()),
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -55,12 +55,20 @@
     Model::Incarnation asker{}; ///< incarnation of the asker that the target knows; 0 if none
 };
 
+/// Says that an instance drains or is suspect, where the platform may not be able to.
+struct StateNotice
+{
+    Model::InstanceId instance{};
+    Model::Incarnation incarnation{};
+    Model::InstanceState state = Model::InstanceState::Suspect;
+};
+
 /// What balancers and agents send each other over UDP.
 struct Datagram
 {
     Model::ServiceId service{};
     Model::Generation generation{};
-    std::variant<PacketHeader, Redirects, Probe, ProbeAnswer> content;
+    std::variant<PacketHeader, Redirects, Probe, ProbeAnswer, StateNotice> content;
 };
 
 /// A datagram as received; \c packet refers to the received bytes.
--- a/tests/auto/control/tst_clusterview.cpp
+++ b/tests/auto/control/tst_clusterview.cpp
@@ -56,3 +56,51 @@
     CHECK_TRUE(view.table()->generation() == Model::Generation(1));
     CHECK_EQUAL(4u, view.refusedConfigurations());
 }
+
+static Platform::Change announcementOf(Model::InstanceState state, std::uint64_t version)
+{
+    Model::Instance instance;
+    instance.name = "agent-1";
+    instance.service = "order-desk";
+    instance.failureDomain = "a";
+    instance.tunnel = {0x7f000001, 1};
+    instance.peer = {0x7f000001, 2};
+    instance.incarnation = Model::Incarnation(5);
+    instance.state = state;
+    return {Membership::instanceKey("agent-1"), Platform::Version(version),
+            Membership::encodeAnnouncement(instance)};
+}
+
+static Model::InstanceState stateIn(const ClusterView &view)
+{
+    return view.table()->findByName("order-desk")->instances().front().state;
+}
+
+TEST(ClusterView, NoticeCountsUntilThePlatformSaysSomethingNewer)
+{
+    using Model::InstanceState;
+    const ClusterView::TimePoint now{std::chrono::hours(1)};
+    const Tunnel::StateNotice suspect{Model::instanceId("agent-1"), Model::Incarnation(5),
+                                      InstanceState::Suspect};
+    ClusterView view;
+    view.apply(Platform::Listing{Platform::Revision(1), {configurationObject(1, 1)}});
+    view.apply(Platform::Changes{Platform::Revision(2), {announcementOf(InstanceState::Ready, 2)}});
+    CHECK_TRUE(view.apply(now, suspect));
+    CHECK_TRUE(stateIn(view) == InstanceState::Suspect);
+    view.apply(Platform::Changes{Platform::Revision(3), {announcementOf(InstanceState::Ready, 3)}});
+    CHECK_TRUE(stateIn(view) == InstanceState::Ready);
+    view.apply(now, suspect);
+    CHECK_FALSE(view.expireNotices(now + NoticeLifetime / 2));
+    CHECK_TRUE(view.expireNotices(now + NoticeLifetime));
+    CHECK_TRUE(stateIn(view) == InstanceState::Ready);
+}
+
+TEST(ClusterView, NoticeOfAnotherIncarnationIsIgnored)
+{
+    ClusterView view;
+    view.apply(Platform::Listing{Platform::Revision(1), {configurationObject(1, 1)}});
+    view.apply(
+        Platform::Changes{Platform::Revision(2), {announcementOf(Model::InstanceState::Ready, 2)}});
+    CHECK_FALSE(view.apply(
+        {}, {Model::instanceId("agent-1"), Model::Incarnation(4), Model::InstanceState::Suspect}));
+}
--- a/tests/auto/flows/tst_flownetwork.cpp
+++ b/tests/auto/flows/tst_flownetwork.cpp
@@ -94,13 +94,21 @@
         if (!agent.isDraining || agent.director->openCount() > 0)
             return;
         otherService_.insert(agent.instance.tunnel);
-        for (SimulatedFlow &flow : flows_) {
-            if (flow.answeredBy > position)
-                --flow.answeredBy;
-            else if (flow.answeredBy == position)
-                flow.answeredBy = SIZE_MAX;
-        }
-        agents_.erase(agents_.begin() + std::ptrdiff_t(position));
+        remove(position);
+        publish();
+    }
+
+    /// An agent dies with its flows, and its peers suspect it.
+    void kill(std::size_t index)
+    {
+        const std::size_t position = index % agents_.size();
+        const auto ready = std::count_if(agents_.begin(), agents_.end(),
+                                         [](const auto &other) { return !other.isDraining; });
+        if (agents_[position].isDraining || ready < 2)
+            return;
+        dead_.push_back(agents_[position].instance);
+        dead_.back().state = Model::InstanceState::Suspect;
+        remove(position);
         publish();
     }
 
@@ -272,9 +280,20 @@
         return nullptr;
     }
 
+    void remove(std::size_t position)
+    {
+        for (SimulatedFlow &flow : flows_) {
+            if (flow.answeredBy == position)
+                flow.answeredBy = SIZE_MAX;
+            else if (flow.answeredBy != SIZE_MAX && flow.answeredBy > position)
+                --flow.answeredBy;
+        }
+        agents_.erase(agents_.begin() + std::ptrdiff_t(position));
+    }
+
     void publish()
     {
-        std::vector<Model::Instance> instances;
+        std::vector<Model::Instance> instances = dead_;
         for (const SimulatedAgent &agent : agents_)
             instances.push_back(agent.instance);
         Model::Service service;
@@ -392,6 +411,7 @@
     const Model::ServiceId service_ = Model::serviceId("order-desk");
     TimePoint now_{std::chrono::hours(1)};
     std::vector<SimulatedAgent> agents_;
+    std::vector<Model::Instance> dead_;
     std::array<std::shared_ptr<const Routing::ServiceTable>, BalancerCount> balancers_;
     std::shared_ptr<const Routing::ServiceTable> latest_;
     std::vector<SimulatedFlow> flows_;
@@ -444,6 +464,8 @@
         case 20:
             return network.close(first_);
         case 21:
+            return first_ % 4 == 0 ? network.kill(second_) : network.join();
+        case 22:
             return network.advance(std::chrono::milliseconds(first_ * 8));
         default:
             return network.settle();
@@ -456,7 +478,7 @@
     }
 
 private:
-    const int kind_ = *rc::gen::inRange(0, 23);
+    const int kind_ = *rc::gen::inRange(0, 24);
     const std::size_t first_ = *rc::gen::inRange<std::size_t>(0, 1000);
     const std::size_t second_ = *rc::gen::inRange<std::size_t>(0, 1000);
 };
--- a/tests/auto/membership/tst_prober.cpp
+++ b/tests/auto/membership/tst_prober.cpp
@@ -52,6 +52,18 @@
     }
 
     const std::set<std::string> &suspects() const { return suspects_; }
+    const std::set<std::string> &forgotten() const { return forgotten_; }
+
+    /// Lets every prober learn what the platform says of \a index.
+    void announce(std::size_t index, Model::InstanceState state)
+    {
+        instances_[index].state = state;
+        for (std::size_t prober = 0; prober < probers_.size(); ++prober) {
+            std::vector<Model::Instance> peers = instances_;
+            peers.erase(peers.begin() + std::ptrdiff_t(prober));
+            probers_[prober].setPeers(std::move(peers));
+        }
+    }
     std::uint64_t sent() const { return sent_; }
     const Prober &prober(std::size_t index) const { return probers_[index]; }
 
@@ -63,6 +75,10 @@
                 suspects_.insert(suspect->name);
                 continue;
             }
+            if (const auto *forgotten = std::get_if<ForgetPeer>(&action)) {
+                forgotten_.insert(forgotten->name);
+                continue;
+            }
             ++generatedSteps;
             ++sent_;
             const auto *const probe = std::get_if<SendProbe>(&action);
@@ -84,6 +100,7 @@
     std::set<std::size_t> dead_;
     std::set<std::pair<std::size_t, std::size_t>> cut_;
     std::set<std::string> suspects_;
+    std::set<std::string> forgotten_;
     std::uint64_t sent_ = 0;
 };
 
@@ -109,6 +126,18 @@
     });
 }
 
+TEST(Prober, ForgetsASuspectOnlyAfterItsTime)
+{
+    Group group(4);
+    group.kill(3);
+    group.run(std::chrono::seconds(30));
+    group.announce(3, Model::InstanceState::Suspect);
+    group.run(std::chrono::seconds(60));
+    CHECK_TRUE(group.forgotten().empty());
+    group.run(SuspectLifetime);
+    CHECK_TRUE(group.forgotten() == std::set<std::string>{"agent-3"});
+}
+
 TEST(Prober, AnswersConfirmTheOwnIncarnation)
 {
     Group group(3);
--- a/tests/auto/routing/tst_servicetable.cpp
+++ b/tests/auto/routing/tst_servicetable.cpp
@@ -113,3 +113,25 @@
         CHECK_TRUE(chain[0].instance == Model::instanceId("agent-0"));
     }
 }
+
+TEST(ServiceTable, PacketsOfOpenFlowsAskSuspectInstancesLast)
+{
+    std::vector<Model::Instance> instances;
+    for (std::size_t number = 0; number < 12; ++number) {
+        instances.push_back(instanceNamed(number));
+        if (number % 3 == 0)
+            instances.back().state = Model::InstanceState::Suspect;
+    }
+    const ServiceTable table(orderDesk(), instances);
+    for (std::uint64_t hash = 0; hash < BucketCount; ++hash) {
+        bool sawSuspect = false;
+        std::size_t live = 0;
+        for (const Hop &hop : table.chainFor(hash, PacketKind::OfFlow)) {
+            const bool isSuspect = (hop.tunnel.port - 1000) % 3 == 0;
+            CHECK_FALSE(sawSuspect && !isSuspect);
+            sawSuspect |= isSuspect;
+            live += isSuspect ? 0 : 1;
+        }
+        CHECK_TRUE(live >= 2);
+    }
+}
--- /dev/null
+++ b/tests/system/failures.py
@@ -0,0 +1,311 @@
+"""Brings about failures in a running deployment and checks what must hold.
+
+Usage: failures.py NAME, or without a name for a list.
+"""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+from deployment import ROOT, Deployment, collect, http, judge, log, strip_comments
+
+ALWAYS_ZERO = ["doubled", "misdelivered", "falseNotRun", "feedGaps", "unexpectedBytes"]
+NOTHING_BREAKS = ALWAYS_ZERO + ["lost", "brokenFlows", "notOpened"]
+SCENARIOS = {}
+
+
+def scenario(function):
+    SCENARIOS[function.__name__.replace("_", "-")] = function
+    return function
+
+
+class Failed(Exception):
+    pass
+
+
+def require(holds, what):
+    if not holds:
+        raise Failed(what)
+
+
+def under_load(deployment, seconds, change, zero, orders=20, feeds=30, manifests=2):
+    """Runs callers, carries out the change after a second, and checks the counts."""
+    first = next(iter(deployment.services))
+    callers = [deployment.start_callers("callers", first, "10.99.0.1", seconds, orders=orders,
+                                        feeds=feeds, manifests=manifests)]
+    time.sleep(1.5)
+    change()
+    reports = collect(callers)
+    journals = []
+    for name, backend in deployment.backends.items():
+        if deployment.processes[f"{name}-backend"].poll() is None:
+            journals.append(http("GET", backend, "/journal"))
+    result = judge(reports, journals)
+    log(json.dumps(result))
+    require(result["answered"] > 0, "nothing was answered")
+    require(result["events"] > 0, "no feed had an event")
+    for key in zero:
+        require(result[key] == 0, f"{key} is {result[key]}, not 0")
+    return result
+
+
+def small(deployment, balancers=3):
+    deployment.start((4, 1), balancers)
+
+
+@scenario
+def balancer_killed(deployment):
+    """A killed balancer breaks no flow, as it holds none."""
+    small(deployment)
+    under_load(deployment, 8, lambda: deployment.kill_balancer("balancer-0"), NOTHING_BREAKS)
+
+
+@scenario
+def balancers_all_replaced(deployment):
+    """All balancers are replaced, one after the other."""
+    small(deployment)
+
+    def replace():
+        for number in range(3):
+            deployment.start_balancer(f"new-{number}", "new")
+            deployment.stop_balancer(f"balancer-{number}")
+            time.sleep(0.5)
+
+    under_load(deployment, 8, replace, NOTHING_BREAKS)
+
+
+@scenario
+def agents_all_replaced(deployment):
+    """Each agent is stopped with SIGTERM and comes back in a new incarnation."""
+    small(deployment)
+    first = next(iter(deployment.services))
+    names = [name for name in deployment.agents if name.startswith(first)]
+
+    def replace():
+        for name in names:
+            process = deployment.processes[name]
+            process.send_signal(signal.SIGTERM)
+            process.wait(timeout=60)
+            deployment.start_daemon(name, deployment.agents[name])
+            deployment.wait_for(name, lambda: deployment.state(name)["state"] == "ready")
+            time.sleep(0.5)
+
+    under_load(deployment, 25, replace, NOTHING_BREAKS)
+    require(deployment.processes[names[0]].poll() is None, "the first agent is not back")
+
+
+@scenario
+def packets_lost_doubled_reordered(deployment):
+    """The fabric drops, doubles and reorders packets both ways."""
+    small(deployment)
+    deployment.set_fabric(drop=0.01, duplicate=0.02, reorder=0.05)
+    under_load(deployment, 10, lambda: None, NOTHING_BREAKS, manifests=1)
+
+
+@scenario
+def drain_while_platform_is_down(deployment):
+    """A backend server drains during an outage: its flows move, and it begins nothing new."""
+    small(deployment)
+    name = next(iter(deployment.agents))
+
+    def drain():
+        deployment.set_platform(outage=True)
+        time.sleep(0.5)
+        http("POST", deployment.backends[name], "/drain", {})
+        deployment.wait_for("flows moved", lambda: deployment.state(name)["flows"]["open"] == 0)
+        submitted = deployment.state(name)["requests"]["submitted"]
+        time.sleep(3)
+        require(deployment.state(name)["requests"]["submitted"] == submitted,
+                "a draining agent began a request")
+        require(deployment.state(name)["state"] == "draining", "the agent is not draining")
+
+    under_load(deployment, 9, drain, NOTHING_BREAKS)
+
+
+@scenario
+def balancer_starts_while_platform_is_down(deployment):
+    """A balancer that starts during an outage learns tables and configuration from its peers."""
+    small(deployment)
+
+    def start():
+        deployment.set_platform(outage=True)
+        deployment.start_balancer("late", "new")
+        for name in ["balancer-0", "balancer-1", "balancer-2"]:
+            deployment.stop_balancer(name)
+
+    under_load(deployment, 10, start, NOTHING_BREAKS)
+    deployment.set_platform(outage=False)
+    deployment.accept()
+    deployment.wait_for("generation 2", lambda: deployment.state("late")["generation"] == 2)
+
+
+@scenario
+def agent_paused_and_woken(deployment):
+    """An agent is paused until its peers suspect it, then woken: nothing runs twice."""
+    small(deployment)
+    name = next(iter(deployment.agents))
+    process = deployment.processes[name]
+
+    def announced_state():
+        return http("GET", deployment.platform, f"/v1/objects/instances/{name}")["state"]
+
+    def pause():
+        process.send_signal(signal.SIGSTOP)
+        deployment.wait_for("suspicion", lambda: announced_state() == "suspect")
+        process.send_signal(signal.SIGCONT)
+        deployment.wait_for("refutation", lambda: announced_state() == "ready")
+
+    under_load(deployment, 12, pause, NOTHING_BREAKS)
+
+
+@scenario
+def agent_killed(deployment):
+    """A killed agent breaks only its own flows, and is told apart from the others."""
+    small(deployment)
+    name = next(iter(deployment.agents))
+
+    def kill():
+        deployment.processes[name].kill()
+
+    result = under_load(deployment, 12, kill, ALWAYS_ZERO)
+    require(result["brokenFlows"] < result["flows"] / 2, "flows of other agents broke")
+
+
+@scenario
+def backend_server_killed(deployment):
+    """A backend server dies under its agent: feeds go on elsewhere, orders are told as unknown."""
+    small(deployment)
+    name = next(iter(deployment.agents))
+    journal = {}
+
+    def kill():
+        journal.update(http("GET", deployment.backends[name], "/journal"))
+        deployment.processes[f"{name}-backend"].kill()
+
+    result = under_load(deployment, 10, kill, ["doubled", "misdelivered", "feedGaps"])
+    require(result["events"] > 0, "no events")
+    state = deployment.state(name)
+    require(state["backend"] == "gone", "the agent did not notice")
+    require(state["flows"]["open"] == 0, "flows stayed with an agent without backend server")
+
+
+@scenario
+def address_reused_by_another_service(deployment):
+    """An agent's address goes to another service while a balancer still sends to it."""
+    small(deployment)
+    first, second = deployment.services
+    name = f"{first}-0"
+
+    def reuse():
+        # The balancers keep their old tables.
+        deployment.set_platform(outage=True)
+        process = deployment.processes[name]
+        settings = dict(deployment.agents[name])
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=60)
+        deployment.set_platform(outage=False, staleReads=True)
+        deployment.start_backend("reused", second)
+        settings.update(name="reused", service=second, backend=deployment.backends["reused"])
+        deployment.start_daemon("reused", settings)
+        deployment.agents["reused"] = settings
+        deployment.wait_for("reused", lambda: deployment.state("reused")["role"] == "agent")
+        time.sleep(2)
+        deployment.set_platform(staleReads=False)
+
+    under_load(deployment, 16, reuse, NOTHING_BREAKS)
+
+
+@scenario
+def operators_race(deployment):
+    """Two operators accept on top of one generation; one wins, the other gets a conflict."""
+    small(deployment, 1)
+    words = [deployment.answers_path, "--platform", deployment.platform, "--expect_generation", 1]
+    racers = [subprocess.Popen([deployment_tool(), "accept", *map(str, words)],
+                               stdout=subprocess.PIPE, stderr=subprocess.PIPE) for _ in range(6)]
+    codes = sorted(racer.wait(timeout=30) for racer in racers)
+    require(codes == [0] + [3] * 5, f"exit codes were {codes}")
+    deployment.wait_for("generation 2", lambda: all(
+        deployment.state(name)["generation"] == 2 for name in deployment.running()))
+
+
+@scenario
+def acceptance_with_lost_answer(deployment):
+    """An acceptance whose answer is lost is found out, and made once."""
+    small(deployment, 1)
+    deployment.set_platform(loseAnswers=1)
+    done = deployment.tool("accept", deployment.answers_path, "--platform", deployment.platform)
+    require(done.returncode == 0, f"exit code {done.returncode}: {done.stderr}")
+    require("generation 2" in done.stdout, done.stdout)
+    deployment.set_platform(outage=True)
+    done = deployment.tool("accept", deployment.answers_path, "--platform", deployment.platform)
+    require(done.returncode == 1, f"exit code {done.returncode} during an outage")
+    deployment.set_platform(outage=False)
+    deployment.wait_for("generation 2", lambda: all(
+        deployment.state(name)["generation"] == 2 for name in deployment.running()))
+
+
+@scenario
+def operator_drains_an_agent(deployment):
+    """An operator's drain moves the flows, and survives a suspicion."""
+    small(deployment)
+    name = next(iter(deployment.agents))
+
+    def drain():
+        done = deployment.tool("drain", name, "--platform", deployment.platform)
+        require(done.returncode == 0, done.stderr)
+        deployment.wait_for("flows moved", lambda: deployment.state(name)["flows"]["open"] == 0)
+
+    under_load(deployment, 7, drain, NOTHING_BREAKS)
+    require(deployment.state(name)["state"] == "draining", "the drain did not last")
+
+
+@scenario
+def files_refused(deployment):
+    """Bad settings and clashing answers are refused with file, line and key, and change nothing."""
+    folder = pathlib.Path(deployment.folder.name)
+    bad_settings = folder / "bad-settings.json"
+    bad_settings.write_text('{\n  "role": "balancer",\n  "colour": 1\n}\n')
+    done = subprocess.run([deployment_bin("gypsumwingd"), "--settings", bad_settings],
+                          capture_output=True, text=True, check=False)
+    require(done.returncode == 2, f"daemon: exit code {done.returncode}")
+    require("bad-settings.json:" in done.stderr and "/" in done.stderr, done.stderr)
+    answers = json.loads(strip_comments(deployment.answers_path.read_text()))
+    answers["services"][1]["address"] = answers["services"][0]["address"]
+    clash = folder / "clash.json"
+    clash.write_text(json.dumps(answers, indent=1))
+    deployment.start_outside()
+    for command in (["generate", clash], ["accept", clash, "--platform", deployment.platform]):
+        done = deployment.tool(*command)
+        require(done.returncode == 2, f"{command[0]}: exit code {done.returncode}")
+        require("clash.json:" in done.stderr and "/services/1/address" in done.stderr, done.stderr)
+    require(http("GET", deployment.platform, "/counts")["revision"] == 0, "something was written")
+
+
+def deployment_bin(name):
+    from deployment import BIN
+    return BIN / name
+
+
+def deployment_tool():
+    return deployment_bin("gypsumwing")
+
+
+def main():
+    if len(sys.argv) != 2 or sys.argv[1] not in SCENARIOS:
+        print("\n".join(f"{name}: {function.__doc__}" for name, function in SCENARIOS.items()))
+        return 2
+    with Deployment(ROOT / "deploy" / "kingston.json") as deployment:
+        try:
+            SCENARIOS[sys.argv[1]](deployment)
+        except (Failed, RuntimeError) as error:
+            log(f"failed: {error}")
+            return 1
+    log("held")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
