A dead or leaving instance takes no open flows of others with it

Cause, found by system tests address-reused-by-another-service and agent-killed: suspicion only lowered the rank for SYNs, so that packets of every open flow whose first-ranked agent was dead went there for ever, whoever owned the flow; and during an outage of the platform a planned leave reached no balancer at all. Ruled out: the drop of misaddressed packets, which is what keeps services apart and stays.

A notice counts until the platform says something newer, for 15 s at most. - A redirect orders its claimants by life, and a claim with a smaller epoch is asked second: after a close, the next flow under the same key begins at epoch 0.

--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -678,6 +678,7 @@
                 peers.push_back(instance);
         }
         prober_.setPeers(std::move(peers));
+        director_.onTable(*serviceTable_);
         sendOwnershipNotices();
         updateState();
     });
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Control {
 
@@ -21,6 +22,7 @@
             changed |= offerConfiguration(object.version, object.value);
     }
     revision_ = std::max(revision_, listing.revision);
+    changed |= dropSupersededNotices();
     if (changed)
         rebuild();
     return changed;
@@ -36,6 +38,7 @@
             changed |= registry_.apply(change);
     }
     revision_ = std::max(revision_, changes.revision);
+    changed |= dropSupersededNotices();
     if (changed)
         rebuild();
     return changed;
@@ -81,6 +84,18 @@
     return false;
 }
 
+bool ClusterView::dropSupersededNotices()
+{
+    std::set<std::pair<Model::InstanceId, Platform::Version>> current;
+    for (const Model::Instance &instance : registry_.instances())
+        current.emplace(Model::instanceId(instance.name), registry_.versionOf(instance.name));
+    return std::erase_if(notices_,
+                         [&current](const auto &entry) {
+                             return !current.contains({entry.first, entry.second.version});
+                         })
+           > 0;
+}
+
 bool ClusterView::expireNotices(TimePoint now)
 {
     const auto removed = std::erase_if(
@@ -95,8 +110,7 @@
     std::vector<Model::Instance> instances = registry_.instances();
     for (Model::Instance &instance : instances) {
         const auto notice = notices_.find(Model::instanceId(instance.name));
-        if (notice != notices_.end() && notice->second.incarnation == instance.incarnation
-            && notice->second.version == registry_.versionOf(instance.name))
+        if (notice != notices_.end() && notice->second.incarnation == instance.incarnation)
             instance.state = notice->second.state;
     }
     return instances;
--- a/src/libs/control/clusterview.h
+++ b/src/libs/control/clusterview.h
@@ -63,6 +63,7 @@
         TimePoint since;
     };
 
+    bool dropSupersededNotices();
     std::vector<Model::Instance> instancesWithNotices() const;
     bool offerConfiguration(Platform::Version version, const std::string &value);
     void rebuild();
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -41,28 +41,48 @@
     return {PassOn{header}, std::nullopt, false};
 }
 
-/// Returns \a first and what of \a rest from \a position on is not in it, as far as there is room.
-static Routing::Chain joined(Routing::Chain first, const Routing::Chain &rest, std::size_t position)
+/// Appends \a hop to \a chain if there is room and its instance is not in it.
+static void appendNew(Routing::Chain &chain, const Routing::Hop &hop)
 {
-    for (; position < rest.size(); ++position) {
-        const auto isSame = [&](const Routing::Hop &hop) {
-            return hop.instance == rest[position].instance;
-        };
-        if (first.size() < Routing::MaxChainLength
-            && std::none_of(first.begin(), first.end(), isSame))
-            first.append(rest[position]);
+    const bool isIncluded = std::any_of(chain.begin(), chain.end(), [&](const Routing::Hop &other) {
+        return other.instance == hop.instance;
+    });
+    if (!isIncluded && chain.size() < Routing::MaxChainLength)
+        chain.append(hop);
+}
+
+void FlowDirector::onTable(const Routing::ServiceTable &table)
+{
+    alive_.clear();
+    for (const Model::Instance &instance : table.instances()) {
+        if (instance.state != Model::InstanceState::Suspect)
+            alive_[Model::instanceId(instance.name)] = instance.incarnation;
     }
-    return first;
+}
+
+bool FlowDirector::isAlive(const Routing::Hop &hop) const
+{
+    const auto known = alive_.find(hop.instance);
+    return known != alive_.end() && known->second == hop.incarnation;
 }
 
 /// Sends the packet to the owner that is known. The rest of the chain follows, so that a redirect
-/// that is out of date costs a detour and no flow.
-Decision FlowDirector::passToOwner(const Tunnel::PacketHeader &header, const Redirect &redirect)
+/// that is out of date costs a detour and no flow. Claimants that seem dead are asked last.
+Decision FlowDirector::passToOwner(const Tunnel::PacketHeader &header,
+                                   const Redirect &redirect) const
 {
     if (header.passes >= MaxPasses)
         return drop(DropCause::TooManyPasses);
     Tunnel::PacketHeader onward = header;
-    onward.chain = joined(redirect.claimants, header.chain, header.position + 1u);
+    onward.chain = {};
+    for (const Routing::Hop &hop : redirect.claimants) {
+        if (isAlive(hop))
+            appendNew(onward.chain, hop);
+    }
+    for (std::size_t next = header.position + 1u; next < header.chain.size(); ++next)
+        appendNew(onward.chain, header.chain[next]);
+    for (const Routing::Hop &hop : redirect.claimants)
+        appendNew(onward.chain, hop);
     onward.position = 0;
     ++onward.passes;
     return {PassOn{onward}, std::nullopt, false};
@@ -234,9 +254,10 @@
     const bool isNewest = flow.epoch >= known.epoch || known.claimants.isEmpty();
     if (!isNewest)
         claimants.append(known.claimants[0]);
-    if (claimants.isEmpty() || claimants[0].instance != owner.instance)
-        claimants.append(owner);
-    known.claimants = joined(claimants, known.claimants, 0);
+    appendNew(claimants, owner);
+    for (const Routing::Hop &hop : known.claimants)
+        appendNew(claimants, hop);
+    known.claimants = claimants;
     known.epoch = std::max(known.epoch, flow.epoch);
     known.lastUse = now;
 }
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -109,6 +109,9 @@
     void onRedirects(TimePoint now, const Routing::Hop &owner,
                      const std::vector<Tunnel::ClaimedFlow> &flows);
 
+    /// Notes which instances \a table says are alive.
+    void onTable(const Routing::ServiceTable &table);
+
     /// Holds back the packets of an owned flow while it is moved.
     void beginMove(const Model::FlowKey &flow);
 
@@ -166,7 +169,8 @@
     using Flows = std::unordered_map<Model::FlowKey, Flow>;
 
     void redirect(TimePoint now, const Tunnel::ClaimedFlow &flow, const Routing::Hop &owner);
-    static Decision passToOwner(const Tunnel::PacketHeader &header, const Redirect &redirect);
+    Decision passToOwner(const Tunnel::PacketHeader &header, const Redirect &redirect) const;
+    bool isAlive(const Routing::Hop &hop) const;
     std::optional<Decision> onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
                                         const Tunnel::TcpPacket &packet);
     Decision onNewFlow(TimePoint now, const Tunnel::PacketHeader &header,
@@ -179,6 +183,7 @@
     Model::ServiceId service_;
     Flows flows_;
     std::unordered_map<Model::FlowKey, Redirect> redirects_;
+    std::unordered_map<Model::InstanceId, Model::Incarnation> alive_;
     std::size_t openCount_ = 0;
 };
 
--- a/tests/auto/flows/tst_flownetwork.cpp
+++ b/tests/auto/flows/tst_flownetwork.cpp
@@ -318,6 +318,7 @@
 
     void notify(SimulatedAgent &agent)
     {
+        agent.director->onTable(*agent.table);
         for (auto &[receiver, flows] : agent.director->ownershipNotices(*agent.table))
             redirects_.push_back({receiver.tunnel, {hopOf(agent), std::move(flows)}});
     }
