Late binding: a waiting request is offered to a peer together with its flow

The request that would start last goes, with its flow, to a random ready peer that has less than half of the wait; each request is offered once and keeps its deadline. It uses the flow move that drains use, so that there is no second way to run a request elsewhere. Weighed: running requests on peers by RPC while the flow stays, which needs streaming both ways and a second ledger of what ran where.

--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <future>
+#include <utility>
 
 namespace Agent {
 
@@ -23,6 +24,7 @@
 static constexpr std::size_t MaxBalancers = 64;
 static constexpr std::size_t MaxNoticedPeers = 32;
 static constexpr std::size_t MaxMovesInProgress = 32;
+static constexpr std::size_t MaxOffersPerTick = 4;
 static constexpr std::size_t MaxBatchesPerTurn = 8;
 static constexpr std::size_t MaxOutgoingBytes = 256 * 1024;
 static constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
@@ -44,10 +46,14 @@
     , health_(io_, settings_.backend, [this](BackendState state) { onBackendState(state); })
     , prober_(self_, std::uint64_t(self_.instance) ^ std::uint64_t(self_.incarnation))
     , nextTransfer_(std::uint64_t(self_.instance) ^ (std::uint64_t(self_.incarnation) << 20))
+    , random_(nextTransfer_)
 {
     PeerServer::Handlers peerHandlers;
-    peerHandlers.offer = [this](Model::InstanceId instance, Model::Incarnation incarnation) {
+    peerHandlers.offer = [this](Model::InstanceId instance, Model::Incarnation incarnation,
+                                std::chrono::milliseconds waitLimit) {
         return onTrafficThread([&] {
+            if (!isShorterWait(waitLimit))
+                return false;
             return instance == self_.instance && incarnation == self_.incarnation && stack_
                    && room().isReady && room().hasRoom;
         });
@@ -329,7 +335,9 @@
     if (takesRequests && !runner_.hasRequest(flow)) {
         if (auto next = session.reader.next()) {
             if (auto *request = std::get_if<Requests::HttpRequest>(&*next)) {
-                runner_.submit(now, flow, std::move(*request));
+                const auto deadline = std::exchange(session.requestDeadline, std::nullopt);
+                session.triedPeer = deadline.has_value();
+                runner_.submit(now, flow, std::move(*request), deadline);
             } else {
                 session.closesWhenSent = true;
                 session.outgoing += Requests::badRequestAnswer();
@@ -422,6 +430,65 @@
     }
 }
 
+/// Late binding: the waiting request that would start last is offered, with its flow, to a random
+/// peer. Only a peer with less than half of the wait takes it, and each request is offered once.
+void AgentTraffic::offerWaiting()
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        runner_.expectedWait(std::chrono::steady_clock::now()));
+    const auto waitLimit = wait / 2;
+    if (waitLimit.count() == 0)
+        return;
+    for (std::size_t offers = 0; offers < MaxOffersPerTick; ++offers) {
+        if (movesInProgress_ >= MaxMovesInProgress || runner_.waitingCount() == 0)
+            return;
+        const auto receiver = randomPeer();
+        if (!receiver)
+            return;
+        const auto withdrawn = runner_.withdrawLast();
+        if (!withdrawn)
+            return;
+        putBack(*withdrawn);
+        Session *const session = find(withdrawn->flow);
+        if (!session)
+            continue;
+        const bool mayMove = !session->triedPeer && !session->farEndClosed
+                             && session->outgoing.empty() && stack_->isQuiet(withdrawn->flow);
+        if (mayMove && startMove(withdrawn->flow, *session, *receiver, waitLimit)) {
+            ++counters_.requestsOffered;
+            continue;
+        }
+        processRequests(withdrawn->flow, *session);
+        return;
+    }
+}
+
+bool AgentTraffic::isShorterWait(std::chrono::milliseconds limit) const
+{
+    return limit.count() == 0 || runner_.expectedWait(std::chrono::steady_clock::now()) < limit;
+}
+
+void AgentTraffic::putBack(const RequestRunner::Withdrawn &withdrawn)
+{
+    Session *const session = find(withdrawn.flow);
+    if (!session)
+        return;
+    session->reader.putBack(withdrawn.request);
+    session->requestDeadline = withdrawn.deadline;
+}
+
+std::optional<Routing::Hop> AgentTraffic::randomPeer()
+{
+    if (!serviceTable_ || serviceTable_->instances().size() < 2)
+        return std::nullopt;
+    const auto &instances = serviceTable_->instances();
+    std::uniform_int_distribution<std::size_t> any(0, instances.size() - 1);
+    const Model::Instance &peer = instances[any(random_)];
+    if (peer.name == settings_.self.name || peer.state != Model::InstanceState::Ready)
+        return std::nullopt;
+    return Routing::Hop{Model::instanceId(peer.name), peer.incarnation, peer.tunnel};
+}
+
 bool AgentTraffic::tryMove(TimePoint now, const Model::FlowKey &flow, Session &session)
 {
     const bool isBusy = runner_.hasRequest(flow) && !runner_.hasFeed(flow);
@@ -429,15 +496,23 @@
         || !stack_->isQuiet(flow))
         return false;
     const auto receiver = receiverFor(flow, session);
-    const Model::Instance *const peer = receiver ? peerNamed(receiver->instance) : nullptr;
-    if (!peer) {
+    if (!receiver) {
         session.nextMove = now + MoveRetryPause;
         session.refusedBy.clear();
         refuseNext(now, flow, session);
         return false;
     }
+    return startMove(flow, session, *receiver, std::chrono::milliseconds(0));
+}
+
+bool AgentTraffic::startMove(const Model::FlowKey &flow, Session &session,
+                             const Routing::Hop &receiver, std::chrono::milliseconds waitLimit)
+{
+    const Model::Instance *const peer = peerNamed(receiver.instance);
+    if (!peer)
+        return false;
     Move move;
-    move.receiver = *receiver;
+    move.receiver = receiver;
     if (runner_.hasFeed(flow)) {
         move.transfer.feed = runner_.takeFeed(flow);
         if (!move.transfer.feed)
@@ -456,11 +531,15 @@
 
     move.transfer.id = ++nextTransfer_;
     move.transfer.service = service_;
-    move.transfer.receiver = receiver->instance;
-    move.transfer.receiverIncarnation = receiver->incarnation;
+    move.transfer.receiver = receiver.instance;
+    move.transfer.receiverIncarnation = receiver.incarnation;
     move.transfer.epoch = director_.epochAfterMove(flow);
     move.transfer.tcp = *tcp;
     move.transfer.unreadBytes = session.reader.unreadBytes();
+    move.transfer.waitLimit = waitLimit;
+    if (session.requestDeadline)
+        move.transfer.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+            *session.requestDeadline - std::chrono::steady_clock::now());
     session.isMoving = true;
     director_.beginMove(flow);
     ++movesInProgress_;
@@ -551,8 +630,8 @@
 
     const auto now = std::chrono::steady_clock::now();
     const Flows::Room current = room();
-    const bool isTaken =
-        stack_ && current.isReady && current.hasRoom && stack_->importFlow(transfer.tcp);
+    const bool isTaken = stack_ && current.isReady && current.hasRoom
+                         && isShorterWait(transfer.waitLimit) && stack_->importFlow(transfer.tcp);
     const auto reply = isTaken ? TransferReply::Taken : TransferReply::Refused;
     transferReplies_[transfer.id] = reply;
     transferOrder_.emplace_back(now, transfer.id);
@@ -568,6 +647,8 @@
     director_.adopt(std::chrono::steady_clock::now(), flow, transfer.epoch);
     Session &session = sessions_[flow] = {};
     session.reader.feed(transfer.unreadBytes);
+    if (transfer.deadline.count() > 0)
+        session.requestDeadline = std::chrono::steady_clock::now() + transfer.deadline;
     if (transfer.feed)
         runner_.resumeFeed(flow, *transfer.feed);
     if (serviceTable_) {
@@ -633,10 +714,8 @@
     if (isReady)
         return processAllRequests();
     drainingSince_ = std::chrono::steady_clock::now();
-    for (const auto &[flow, request] : runner_.withdrawWaiting()) {
-        if (Session *const session = find(flow))
-            session->reader.putBack(request);
-    }
+    for (const auto &withdrawn : runner_.withdrawWaiting())
+        putBack(withdrawn);
 }
 
 void AgentTraffic::processAllRequests()
@@ -744,6 +823,8 @@
     }
     if (state_ != Model::InstanceState::Ready)
         moveFlows(now);
+    else if (mayStartNow && stack_)
+        offerWaiting();
     if (state_ != Model::InstanceState::Ready && now >= nextStateNotice_) {
         nextStateNotice_ = now + StateNoticeInterval;
         // Peers that leave are asked last, as if they were suspect.
@@ -789,6 +870,7 @@
               {"opened", counters_.flowsOpened},
               {"adopted", counters_.flowsAdopted},
               {"moved", counters_.flowsMoved},
+              {"offeredWithRequest", counters_.requestsOffered},
               {"broken", counters_.flowsBroken},
               {"transfers", transfers}}},
             {"packets",
--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -52,6 +53,7 @@
     std::uint64_t flowsOpened = 0;
     std::uint64_t flowsAdopted = 0;
     std::uint64_t flowsMoved = 0;
+    std::uint64_t requestsOffered = 0; ///< waiting requests offered to a peer with their flow
     std::uint64_t flowsBroken = 0;
     std::uint64_t controlBytesSent = 0;
     std::array<std::uint64_t, Flows::DropCauseCount> drops{};
@@ -111,6 +113,8 @@
         bool farEndClosed = false;
         bool isMoving = false;
         TimePoint nextMove;
+        std::optional<TimePoint> requestDeadline; ///< of a request that waited elsewhere before
+        bool triedPeer = false; ///< the waiting request was offered to a peer already
         std::set<Model::InstanceId> refusedBy;
     };
 
@@ -157,7 +161,13 @@
     Session *find(const Model::FlowKey &flow);
 
     void moveFlows(TimePoint now);
+    void offerWaiting();
     bool tryMove(TimePoint now, const Model::FlowKey &flow, Session &session);
+    bool startMove(const Model::FlowKey &flow, Session &session, const Routing::Hop &receiver,
+                   std::chrono::milliseconds waitLimit);
+    bool isShorterWait(std::chrono::milliseconds limit) const;
+    void putBack(const RequestRunner::Withdrawn &withdrawn);
+    std::optional<Routing::Hop> randomPeer();
     void refuseNext(TimePoint now, const Model::FlowKey &flow, Session &session);
     std::optional<Routing::Hop> receiverFor(const Model::FlowKey &flow, const Session &session);
     void onMoved(const Move &move, TransferResult result);
@@ -200,6 +210,7 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> transferOrder_;
     std::size_t movesInProgress_ = 0;
     std::uint64_t nextTransfer_;
+    std::mt19937_64 random_;
 
     std::map<Model::Endpoint, TimePoint> balancers_; ///< who sent packets lately
     TimePoint nextStateNotice_;
--- a/src/libs/agent/flowtransfer.cpp
+++ b/src/libs/agent/flowtransfer.cpp
@@ -1,5 +1,7 @@
 #include "agent/flowtransfer.h"
 
+#include <algorithm>
+
 namespace Agent {
 
 static void writeTcp(Rpc::TcpState::Builder builder, const Stack::TcpState &state)
@@ -75,6 +77,8 @@
     builder.setService(std::uint64_t(transfer.service));
     builder.setReceiver(std::uint64_t(transfer.receiver));
     builder.setReceiverIncarnation(std::uint64_t(transfer.receiverIncarnation));
+    builder.setWaitLimitMs(std::uint32_t(transfer.waitLimit.count()));
+    builder.setDeadlineMs(std::uint32_t(std::max<std::int64_t>(0, transfer.deadline.count())));
     builder.setEpoch(std::uint32_t(transfer.epoch));
     writeTcp(builder.initTcp(), transfer.tcp);
     builder.setUnreadBytes(
@@ -91,6 +95,8 @@
     transfer.service = Model::ServiceId(reader.getService());
     transfer.receiver = Model::InstanceId(reader.getReceiver());
     transfer.receiverIncarnation = Model::Incarnation(reader.getReceiverIncarnation());
+    transfer.waitLimit = std::chrono::milliseconds(reader.getWaitLimitMs());
+    transfer.deadline = std::chrono::milliseconds(reader.getDeadlineMs());
     transfer.epoch = Tunnel::Epoch(reader.getEpoch());
     transfer.tcp = readTcp(reader.getTcp());
     const auto unread = reader.getUnreadBytes();
--- a/src/libs/agent/flowtransfer.h
+++ b/src/libs/agent/flowtransfer.h
@@ -7,6 +7,7 @@
 
 #include "model/identity.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,9 @@
     Stack::TcpState tcp;
     std::string unreadBytes; ///< of the request that is not whole yet
     std::optional<FeedState> feed;
+    std::chrono::milliseconds waitLimit{0}; ///< only for a receiver with a shorter wait; 0 for any
+    std::chrono::milliseconds deadline{
+        0}; ///< what remains for the next request; 0 where none waited
 };
 
 /// Writes \a transfer. Thread-safe.
--- a/src/libs/agent/peerlink.cpp
+++ b/src/libs/agent/peerlink.cpp
@@ -45,7 +45,8 @@
         const auto parameters = context.getParams();
         const bool accepted =
             handlers_.offer(Model::InstanceId(parameters.getReceiver()),
-                            Model::Incarnation(parameters.getReceiverIncarnation()));
+                            Model::Incarnation(parameters.getReceiverIncarnation()),
+                            std::chrono::milliseconds(parameters.getWaitLimitMs()));
         context.getResults().setAccepted(accepted);
         return kj::READY_NOW;
     }
@@ -174,6 +175,7 @@
         auto offer = peer.offerFlowRequest();
         offer.setReceiver(std::uint64_t(job.transfer.receiver));
         offer.setReceiverIncarnation(std::uint64_t(job.transfer.receiverIncarnation));
+        offer.setWaitLimitMs(std::uint32_t(job.transfer.waitLimit.count()));
         const auto offered = timer.timeoutAfter(CallLimitMs * kj::MILLISECONDS, offer.send())
                                  .wait(client.getWaitScope());
         if (!offered.getAccepted() && !job.mayHaveArrived)
--- a/src/libs/agent/peerlink.h
+++ b/src/libs/agent/peerlink.h
@@ -38,8 +38,9 @@
 public:
     struct Handlers
     {
-        /// Whether this agent is the one meant and has room. Called on the server's thread.
-        std::function<bool(Model::InstanceId, Model::Incarnation)> offer;
+        /// Whether this agent is the one meant and has room, and a shorter wait than the last
+        /// argument unless that is 0. Called on the server's thread.
+        std::function<bool(Model::InstanceId, Model::Incarnation, std::chrono::milliseconds)> offer;
         /// Takes the flow, or refuses it. Called on the server's thread; may block.
         std::function<TransferReply(FlowTransfer)> take;
     };
--- a/src/libs/agent/requestrunner.cpp
+++ b/src/libs/agent/requestrunner.cpp
@@ -87,7 +87,8 @@
     return id;
 }
 
-void RequestRunner::submit(TimePoint now, const Model::FlowKey &flow, Requests::HttpRequest request)
+void RequestRunner::submit(TimePoint now, const Model::FlowKey &flow, Requests::HttpRequest request,
+                           std::optional<TimePoint> deadline)
 {
     ++counters_.submitted;
     retryBudget_.onRequest();
@@ -98,14 +99,14 @@
     running.flow = flow;
     running.workClass = estimator_.classify(request);
     running.submitted = now;
-    running.deadline = now + service_.deadline;
+    running.deadline = deadline.value_or(now + service_.deadline);
     running.writer = ResponseWriter(request.method != "HEAD", request.keepsFlowOpen);
     if (!request.isIdempotent())
         running.journalKey = Requests::headerValue(request.headers, "Idempotency-Key");
     const auto expected = estimator_.expected(request, running.workClass);
     running.request = std::move(request);
     const WorkClass workClass = running.workClass;
-    const TimePoint deadline = running.deadline;
+    const TimePoint due = running.deadline;
     const Id id = add(std::move(running));
 
     if (workClass == WorkClass::Feed) {
@@ -113,7 +114,7 @@
         openCall(id);
         return;
     }
-    carryOut(now, admission_.submit(now, {id, workClass, expected, deadline}));
+    carryOut(now, admission_.submit(now, {id, workClass, expected, due}));
 }
 
 /// Answers a repeat under an Idempotency-Key without running it. Returns false for a first request.
@@ -444,17 +445,30 @@
     }
 }
 
-std::vector<std::pair<Model::FlowKey, Requests::HttpRequest>> RequestRunner::withdrawWaiting()
+RequestRunner::Withdrawn RequestRunner::withdraw(Id id)
 {
-    std::vector<std::pair<Model::FlowKey, Requests::HttpRequest>> withdrawn;
+    Running &running = *find(id);
+    if (!running.journalKey.empty())
+        journal_.forget(running.journalKey);
+    Withdrawn withdrawn{running.flow, std::move(running.request), running.deadline};
+    release(id);
+    return withdrawn;
+}
+
+std::optional<RequestRunner::Withdrawn> RequestRunner::withdrawLast()
+{
+    const auto ticket = admission_.takeLastWaiting(WorkClass::Short);
+    if (!ticket)
+        return std::nullopt;
+    return withdraw(ticket->id);
+}
+
+std::vector<RequestRunner::Withdrawn> RequestRunner::withdrawWaiting()
+{
+    std::vector<Withdrawn> withdrawn;
     for (const WorkClass workClass : {WorkClass::Short, WorkClass::Long}) {
-        while (const auto ticket = admission_.takeLastWaiting(workClass)) {
-            Running &running = *find(ticket->id);
-            if (!running.journalKey.empty())
-                journal_.forget(running.journalKey);
-            withdrawn.emplace_back(running.flow, std::move(running.request));
-            release(ticket->id);
-        }
+        while (const auto ticket = admission_.takeLastWaiting(workClass))
+            withdrawn.push_back(withdraw(ticket->id));
     }
     return withdrawn;
 }
--- a/src/libs/agent/requestrunner.h
+++ b/src/libs/agent/requestrunner.h
@@ -59,8 +59,10 @@
     /// Uses \a service's limits and paths from now on.
     void configure(const Model::Service &service);
 
-    /// Takes the next request of \a flow. Precondition: the flow has none.
-    void submit(TimePoint now, const Model::FlowKey &flow, Requests::HttpRequest request);
+    /// Takes the next request of \a flow, due by \a deadline or by the service's own.
+    /// Precondition: the flow has none.
+    void submit(TimePoint now, const Model::FlowKey &flow, Requests::HttpRequest request,
+                std::optional<TimePoint> deadline);
 
     /// Goes on with a feed that another agent began. Precondition: the flow has no request.
     void resumeFeed(const Model::FlowKey &flow, const FeedState &feed);
@@ -83,8 +85,25 @@
     /// Sets the share of the slots that a warming backend server gets, from 0 to 1.
     void setWarmth(double warmth);
 
-    /// Takes the waiting requests away, to be run elsewhere.
-    std::vector<std::pair<Model::FlowKey, Requests::HttpRequest>> withdrawWaiting();
+    /// A request that waited, to be run elsewhere.
+    struct Withdrawn
+    {
+        Model::FlowKey flow;
+        Requests::HttpRequest request;
+        TimePoint deadline;
+    };
+
+    /// Takes away the waiting short request that would start last.
+    std::optional<Withdrawn> withdrawLast();
+
+    /// Takes all waiting requests away.
+    std::vector<Withdrawn> withdrawWaiting();
+
+    /// Returns the expected wait of a new short request.
+    std::chrono::microseconds expectedWait(TimePoint now) const
+    {
+        return admission_.expectedWait(now, Requests::WorkClass::Short);
+    }
 
     bool hasSpareSlot() const { return admission_.hasSpareSlot(); }
     bool hasRequest(const Model::FlowKey &flow) const { return byFlow_.contains(flow); }
@@ -117,6 +136,7 @@
     bool answerFromJournal(TimePoint now, const Model::FlowKey &flow,
                            const Requests::HttpRequest &request);
     Id add(Running running);
+    Withdrawn withdraw(Id id);
     void carryOut(TimePoint now, const std::vector<Requests::AdmissionAction> &actions);
     void start(TimePoint now, Id id);
     void openCall(Id id);
--- a/src/libs/rpc/peer.capnp
+++ b/src/libs/rpc/peer.capnp
@@ -48,6 +48,8 @@
   unreadBytes @5 :Data;      # received from the caller, not yet part of a whole request
   feed @6 :Feed;             # target is empty where no feed is open
   epoch @7 :UInt32;          # of the flow at the receiver
+  waitLimitMs @8 :UInt32;    # taken only for a shorter wait than this; 0 where any will do
+  deadlineMs @9 :UInt32;     # what remains for the first unread request; 0 where none waited
 }
 
 enum TransferOutcome {
@@ -58,7 +60,8 @@
 
 interface Peer {
   # Asks whether the receiver is the one meant and has room. Without effect.
-  offerFlow @0 (receiver :UInt64, receiverIncarnation :UInt64) -> (accepted :Bool);
+  offerFlow @0 (receiver :UInt64, receiverIncarnation :UInt64, waitLimitMs :UInt32)
+      -> (accepted :Bool);
 
   # Idempotent by the transfer's id.
   takeFlow @1 (transfer :FlowTransfer) -> (outcome :TransferOutcome);
--- a/src/libs/rpc/peer.capnp.h
+++ b/src/libs/rpc/peer.capnp.h
@@ -94,7 +94,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8210d388685dc6be, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8210d388685dc6be, 6, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -132,7 +132,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dd3931aa3edfcf4a, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(dd3931aa3edfcf4a, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -585,6 +585,10 @@
 
   inline  ::uint32_t getEpoch() const;
 
+  inline  ::uint32_t getWaitLimitMs() const;
+
+  inline  ::uint32_t getDeadlineMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -649,6 +653,12 @@
   inline  ::uint32_t getEpoch();
   inline void setEpoch( ::uint32_t value);
 
+  inline  ::uint32_t getWaitLimitMs();
+  inline void setWaitLimitMs( ::uint32_t value);
+
+  inline  ::uint32_t getDeadlineMs();
+  inline void setDeadlineMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -757,6 +767,8 @@
 
   inline  ::uint64_t getReceiverIncarnation() const;
 
+  inline  ::uint32_t getWaitLimitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -791,6 +803,9 @@
   inline  ::uint64_t getReceiverIncarnation();
   inline void setReceiverIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getWaitLimitMs();
+  inline void setWaitLimitMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1685,6 +1700,34 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FlowTransfer::Reader::getWaitLimitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowTransfer::Builder::getWaitLimitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FlowTransfer::Builder::setWaitLimitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FlowTransfer::Reader::getDeadlineMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowTransfer::Builder::getDeadlineMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void FlowTransfer::Builder::setDeadlineMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1737,6 +1780,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Peer::OfferFlowParams::Reader::getWaitLimitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::OfferFlowParams::Builder::getWaitLimitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Peer::OfferFlowParams::Builder::setWaitLimitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::OfferFlowResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
