Long work fills one slot unless pressed; redirects are counted; measures

Cause: each redirect puts its claimants first again. A packet now follows three redirects at most and then walks its chain. Cause: at 70% load two of three slots were often filled by long work. Long work now fills one slot of three, and one more when its deadline leaves less than its own running time; waiting work is offered every 5 ms.

--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -14,7 +14,8 @@
 using Observability::Level;
 using Observability::log;
 
-static constexpr std::chrono::milliseconds TickInterval{20};
+static constexpr std::chrono::milliseconds TickInterval{5};
+static constexpr std::chrono::milliseconds ExpiryInterval{500};
 static constexpr std::chrono::seconds NoticesInterval{10};
 static constexpr std::chrono::milliseconds MoveRetryPause{300};
 static constexpr std::chrono::seconds RefusalGrace{2};
@@ -813,7 +814,8 @@
                           / std::chrono::duration<double>(settings_.warmUp));
     runner_.tick(now);
     carryOut(prober_.tick(now));
-    if (stack_) {
+    if (stack_ && now >= nextExpiry_) {
+        nextExpiry_ = now + ExpiryInterval;
         for (const Model::FlowKey &flow : director_.expire(now))
             stack_->abandon(flow);
     }
--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -221,6 +221,7 @@
     TimePoint readySince_;
     TimePoint drainingSince_;
     TimePoint nextNotices_;
+    TimePoint nextExpiry_;
     TrafficCounters counters_;
 
     PeerClient peerClient_;
--- a/src/libs/agent/requestrunner.cpp
+++ b/src/libs/agent/requestrunner.cpp
@@ -12,7 +12,7 @@
 
 static constexpr std::chrono::seconds LongestRun{60};
 static constexpr std::chrono::milliseconds FeedReopenPause{500};
-static constexpr std::size_t LongSlotsOf3 = 2;
+static constexpr std::size_t SlotsPerLongSlot = 3;
 static constexpr std::size_t WaitingPerSlot = 64;
 static constexpr double RetryShare = 0.1;
 static constexpr double RetryReserve = 10.0;
@@ -24,7 +24,7 @@
 {
     Requests::AdmissionLimits limits;
     limits.slots = std::max<std::size_t>(1, service.slotsPerServer);
-    limits.longSlots = std::max<std::size_t>(1, limits.slots * LongSlotsOf3 / 3);
+    limits.longSlots = std::max<std::size_t>(1, limits.slots / SlotsPerLongSlot);
     limits.maxWaiting = limits.slots * WaitingPerSlot;
     return limits;
 }
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -84,6 +84,7 @@
     for (const Routing::Hop &hop : redirect.claimants)
         appendNew(onward.chain, hop);
     onward.position = 0;
+    ++onward.redirects;
     ++onward.passes;
     return {PassOn{onward}, std::nullopt, false};
 }
@@ -120,7 +121,8 @@
     if (packet.opensFlow())
         return onNewFlow(now, header, packet, room, isThisIncarnation);
 
-    if (const auto known = redirects_.find(packet.flow); known != redirects_.end()) {
+    const auto known = redirects_.find(packet.flow);
+    if (known != redirects_.end() && header.redirects < MaxRedirects) {
         known->second.lastUse = now;
         return passToOwner(header, known->second);
     }
@@ -338,6 +340,7 @@
         flows.push_back({key, flow.epoch});
     }
     std::vector<std::pair<Routing::Hop, std::vector<Tunnel::ClaimedFlow>>> notices;
+    notices.reserve(byReceiver.size());
     for (auto &[id, notice] : byReceiver)
         notices.push_back(std::move(notice));
     return notices;
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -31,6 +31,10 @@
 /// How often agents may pass a packet on before it counts as going in circles.
 constexpr std::uint8_t MaxPasses = 8;
 
+/// How often a packet may follow a redirect; after that it only walks its chain, since two agents
+/// may hold each other for the owner.
+constexpr std::uint8_t MaxRedirects = 3;
+
 enum class DropCause {
     OtherService,  ///< the packet is meant for another service
     OtherInstance, ///< the packet is meant for another instance
--- a/src/libs/requests/admission.cpp
+++ b/src/libs/requests/admission.cpp
@@ -37,6 +37,18 @@
     return workClass != WorkClass::Long || longRunning_ < longSlots();
 }
 
+/// Whether the first long request that waits may have a slot now.
+bool Admission::mayStartLong(TimePoint now) const
+{
+    if (longQueue_.empty() || paused_ || running_.size() >= limits_.slots)
+        return false;
+    if (longRunning_ < longSlots())
+        return true;
+    const Ticket &first = longQueue_.front();
+    const bool isPressed = first.deadline - now < 2 * first.expected;
+    return isPressed && longRunning_ < longSlots() + 1 && longRunning_ + 1 < limits_.slots;
+}
+
 bool Admission::hasSpareSlot() const
 {
     return shortQueue_.empty() && maySlotTake(WorkClass::Short);
@@ -135,10 +147,10 @@
 }
 
 /// Picks the queue whose head has the earlier deadline, among those that may have a slot.
-Admission::Queue *Admission::nextQueue()
+Admission::Queue *Admission::nextQueue(TimePoint now)
 {
     const bool mayShort = !shortQueue_.empty() && maySlotTake(WorkClass::Short);
-    const bool mayLong = !longQueue_.empty() && maySlotTake(WorkClass::Long);
+    const bool mayLong = mayStartLong(now);
     if (mayShort && mayLong)
         return longQueue_.front().deadline < shortQueue_.front().deadline ? &longQueue_
                                                                           : &shortQueue_;
@@ -149,7 +161,7 @@
 
 void Admission::startWaiting(TimePoint now, std::vector<AdmissionAction> &actions)
 {
-    while (Queue *queue = nextQueue()) {
+    while (Queue *queue = nextQueue(now)) {
         const Ticket ticket = queue->front();
         queue->pop_front();
         running_[ticket.id] = {ticket.workClass, now, ticket.expected};
--- a/src/libs/requests/admission.h
+++ b/src/libs/requests/admission.h
@@ -47,14 +47,15 @@
 struct AdmissionLimits
 {
     std::size_t slots = 3;       ///< requests that run at once
-    std::size_t longSlots = 2;   ///< slots that long work may fill
+    std::size_t longSlots = 1;   ///< slots that long work may fill while its deadlines are far
     std::size_t maxWaiting = 64; ///< requests that wait at once
 };
 
 /// Decides when a request runs on the agent's own backend server, and when it is refused.
 ///
-/// Short and long work wait in queues of their own, so that short work never waits for a slot
-/// that only long work fills. A request is refused at once when the expected wait outlasts its
+/// Short and long work wait in queues of their own, and long work fills few of the slots. Long work
+/// whose deadline leaves less than its own running time to spare may fill one more, but never the
+/// last slot of several. A request is refused at once when the expected wait outlasts its
 /// deadline. Without sockets, threads or clocks; not thread-safe.
 class Admission
 {
@@ -109,7 +110,8 @@
     const Queue &queueOf(WorkClass workClass) const;
     std::size_t longSlots() const;
     bool maySlotTake(WorkClass workClass) const;
-    Queue *nextQueue();
+    bool mayStartLong(TimePoint now) const;
+    Queue *nextQueue(TimePoint now);
     void refuseExpired(TimePoint now, Queue &queue, std::vector<AdmissionAction> &actions) const;
     void startWaiting(TimePoint now, std::vector<AdmissionAction> &actions);
 
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -29,6 +29,7 @@
       position @3 :UInt8;    # index into chain of the agent that this is sent to
       passes @4 :UInt8;      # how often agents passed the packet on
       opensFlow @5 :Bool;
+      redirects @16 :UInt8;  # how often it followed a redirect
     }
     redirects :group {
       owner @6 :Hop;
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -495,6 +495,8 @@
 
   inline bool getOpensFlow() const;
 
+  inline  ::uint8_t getRedirects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -539,6 +541,9 @@
   inline bool getOpensFlow();
   inline void setOpensFlow(bool value);
 
+  inline  ::uint8_t getRedirects();
+  inline void setRedirects( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1121,6 +1126,7 @@
   _builder.setDataField< ::uint8_t>(::capnp::bounded<16>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<19>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::Packet::Builder(_builder);
 }
@@ -1294,6 +1300,20 @@
       ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Datagram::Packet::Reader::getRedirects() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Packet::Builder::getRedirects() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setRedirects( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Redirects::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -34,6 +34,7 @@
         writeHop(chain[index], header.chain[index]);
     packet.setPosition(header.position);
     packet.setPasses(header.passes);
+    packet.setRedirects(header.redirects);
     packet.setOpensFlow(header.opensFlow);
 }
 
@@ -109,6 +110,7 @@
         header.chain.append(readHop(hop));
     header.position = packet.getPosition();
     header.passes = packet.getPasses();
+    header.redirects = packet.getRedirects();
     header.opensFlow = packet.getOpensFlow();
     return header;
 }
--- /dev/null
+++ b/tests/benchmarks/policy.cpp
@@ -0,0 +1,407 @@
+#include "measures.h"
+
+#include "requests/admission.h"
+#include "routing/routingtable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <queue>
+#include <random>
+#include <unordered_map>
+
+namespace Measures {
+
+using namespace Requests;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// How work finds a backend server.
+enum class Placement {
+    Gypsumwing,     ///< chain with acceptance by free slots, then late binding
+    FlowHash,       ///< the first of the chain, always
+    ReportedChoice, ///< the better of two by a load report that lags
+};
+
+/// How a backend server orders and refuses its work.
+enum class Discipline { Classes, Fifo, NoRefusal };
+
+struct Scenario
+{
+    Placement placement = Placement::Gypsumwing;
+    Discipline discipline = Discipline::Classes;
+    double load = 0.7;
+    double stragglers = 0.0; ///< share of long work
+    double swing = 1.0;      ///< factor on the arrivals from SwingStart to SwingEnd
+    milliseconds deadline{5000};
+    std::size_t requestsPerFlow = 20;
+};
+
+static constexpr double ShortMs = 20.0;
+static constexpr double StragglerFactor = 50.0;
+static constexpr std::size_t Slots = 3;
+static constexpr std::size_t LongSlots = 1;
+static constexpr double DurationMs = 300'000.0;
+static constexpr double SwingStartMs = 100'000.0;
+static constexpr double SwingEndMs = 130'000.0;
+static constexpr double ReportLagMs = 500.0;
+static constexpr double OfferDelayMs = 5.0;
+static const std::vector<double> speeds{1.0, 1.5, 2.0, 1.0, 3.0, 1.5, 2.5};
+
+namespace {
+
+struct Request
+{
+    double arrival = 0;
+    double workMs = 0; ///< at speed 1
+    bool isLong = false;
+    bool wasOffered = false;
+    std::size_t server = 0;
+    TimePoint deadline;
+};
+
+struct Server
+{
+    explicit Server(double itsSpeed, const AdmissionLimits &limits)
+        : speed(itsSpeed)
+        , admission(limits)
+    {}
+
+    double speed;
+    Admission admission;
+    double workDone = 0;
+    double reported = 0;
+};
+
+enum class EventKind { Arrival, Finish, Report, Offer };
+
+struct Event
+{
+    double time = 0;
+    EventKind kind = EventKind::Arrival;
+    std::uint64_t id = 0;
+
+    bool operator>(const Event &other) const { return time > other.time; }
+};
+
+/// Backend servers with slots and speeds, and the agents' decisions in front of them.
+class Simulation
+{
+public:
+    Simulation(const Scenario &scenario, std::uint64_t seed)
+        : scenario_(scenario)
+        , random_(seed)
+    {
+        AdmissionLimits limits{Slots, LongSlots, 1'000'000};
+        if (scenario.discipline == Discipline::Fifo)
+            limits.longSlots = Slots;
+        std::vector<Model::Instance> instances;
+        for (std::size_t index = 0; index < speeds.size(); ++index) {
+            servers_.emplace_back(speeds[index], limits);
+            Model::Instance instance;
+            instance.name = "agent-" + std::to_string(index);
+            instance.capacity = speeds[index];
+            instance.tunnel = {1, std::uint16_t(index)};
+            instances.push_back(instance);
+        }
+        table_ = std::make_unique<Routing::ServiceTable>(Model::Service{}, instances);
+        const double strength = std::accumulate(speeds.begin(), speeds.end(), 0.0);
+        const double meanWork = ShortMs * (1.0 + scenario.stragglers * (StragglerFactor - 1.0));
+        arrivalsPerMs_ = scenario.load * strength * double(Slots) / meanWork;
+    }
+
+    void run()
+    {
+        push({0, EventKind::Arrival, 0});
+        push({ReportLagMs, EventKind::Report, 0});
+        push({OfferDelayMs, EventKind::Offer, 0});
+        while (!events_.empty() && events_.top().time < DurationMs) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.time;
+            handle(event);
+        }
+    }
+
+    double imbalance() const
+    {
+        double greatest = 0;
+        double sum = 0;
+        for (const Server &server : servers_) {
+            greatest = std::max(greatest, server.workDone / server.speed);
+            sum += server.workDone / server.speed;
+        }
+        return greatest / (sum / double(servers_.size()));
+    }
+
+    double shortP99() const
+    {
+        std::vector<double> sorted = shortLatencies_;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted[sorted.size() * 99 / 100];
+    }
+
+    double longRefusedShare() const { return longRefused_ / std::max(1.0, longArrivals_); }
+    double swingInTime() const { return swingInTime_; }
+    double swingArrivals() const { return swingArrivals_; }
+
+    /// What the slots could have served of the swing's work, at the most.
+    double swingBound() const
+    {
+        const double strength = std::accumulate(speeds.begin(), speeds.end(), 0.0);
+        const double served = strength * double(Slots)
+                              * (SwingEndMs - SwingStartMs + double(scenario_.deadline.count()))
+                              / ShortMs;
+        return std::min(swingArrivals_, served);
+    }
+
+private:
+    TimePoint timePoint(double ms) const
+    {
+        return TimePoint(std::chrono::duration_cast<TimePoint::duration>(
+            std::chrono::duration<double, std::milli>(ms)));
+    }
+
+    void push(const Event &event) { events_.push(event); }
+
+    bool isInSwing(double time) const { return time >= SwingStartMs && time < SwingEndMs; }
+
+    void handle(const Event &event)
+    {
+        switch (event.kind) {
+        case EventKind::Arrival:
+            return arrive();
+        case EventKind::Finish:
+            return finish(event.id);
+        case EventKind::Report:
+            for (Server &server : servers_)
+                server.reported =
+                    double(server.admission.runningCount() + server.admission.waitingCount())
+                    / server.speed;
+            return push({now_ + ReportLagMs, EventKind::Report, 0});
+        case EventKind::Offer:
+            if (scenario_.placement == Placement::Gypsumwing)
+                offerWaiting();
+            return push({now_ + OfferDelayMs, EventKind::Offer, 0});
+        }
+    }
+
+    void arrive()
+    {
+        const double factor = isInSwing(now_) ? scenario_.swing : 1.0;
+        std::exponential_distribution<double> gap(arrivalsPerMs_ * factor);
+        push({now_ + gap(random_), EventKind::Arrival, 0});
+
+        Request request;
+        request.arrival = now_;
+        request.isLong = std::bernoulli_distribution(scenario_.stragglers)(random_);
+        request.workMs = ShortMs * (request.isLong ? StragglerFactor : 1.0);
+        request.deadline = timePoint(now_) + scenario_.deadline;
+        request.server = serverOfFlow();
+        longArrivals_ += request.isLong;
+        swingArrivals_ += isInSwing(now_);
+        const std::uint64_t id = ++nextId_;
+        requests_[id] = request;
+        submit(id);
+    }
+
+    /// A request comes on one of the open flows; flows are renewed now and then.
+    std::size_t serverOfFlow()
+    {
+        static constexpr std::size_t OpenFlows = 400;
+        if (flows_.size() < OpenFlows) {
+            flows_.push_back(place());
+            return flows_.back();
+        }
+        std::size_t &flow = flows_[random_() % flows_.size()];
+        if (random_() % scenario_.requestsPerFlow == 0)
+            flow = place();
+        return flow;
+    }
+
+    std::size_t place()
+    {
+        const std::uint64_t hash = random_();
+        const auto chain = table_->chainFor(hash, Routing::PacketKind::OpensFlow);
+        const std::size_t first = chain[0].tunnel.port;
+        if (scenario_.placement == Placement::FlowHash)
+            return first;
+        if (scenario_.placement == Placement::ReportedChoice) {
+            const std::size_t second = chain[1].tunnel.port;
+            return servers_[first].reported <= servers_[second].reported ? first : second;
+        }
+        for (const Routing::Hop &hop : chain) {
+            if (servers_[hop.tunnel.port].admission.hasSpareSlot())
+                return hop.tunnel.port;
+        }
+        return chain[chain.size() - 1].tunnel.port;
+    }
+
+    Ticket ticketOf(std::uint64_t id) const
+    {
+        const Request &request = requests_.at(id);
+        Ticket ticket;
+        ticket.id = RequestId(id);
+        const bool hasClasses = scenario_.discipline != Discipline::Fifo;
+        ticket.workClass = request.isLong && hasClasses ? WorkClass::Long : WorkClass::Short;
+        ticket.expected =
+            microseconds(std::int64_t(1000 * request.workMs / servers_[request.server].speed));
+        ticket.deadline = request.deadline;
+        if (scenario_.discipline == Discipline::NoRefusal)
+            ticket.deadline += std::chrono::hours(10);
+        return ticket;
+    }
+
+    void submit(std::uint64_t id)
+    {
+        Server &server = servers_[requests_.at(id).server];
+        carryOut(server, server.admission.submit(timePoint(now_), ticketOf(id)));
+    }
+
+    void carryOut(Server &server, const std::vector<AdmissionAction> &actions)
+    {
+        for (const AdmissionAction &action : actions) {
+            if (const auto *start = std::get_if<Start>(&action)) {
+                const auto id = std::uint64_t(start->id);
+                push({now_ + requests_.at(id).workMs / server.speed, EventKind::Finish, id});
+            } else {
+                const auto id = std::uint64_t(std::get<Refuse>(action).id);
+                longRefused_ += requests_.at(id).isLong;
+                requests_.erase(id);
+            }
+        }
+    }
+
+    void finish(std::uint64_t id)
+    {
+        const Request request = requests_.at(id);
+        requests_.erase(id);
+        Server &server = servers_[request.server];
+        server.workDone += request.workMs;
+        if (!request.isLong)
+            shortLatencies_.push_back(now_ - request.arrival);
+        if (isInSwing(request.arrival) && timePoint(now_) <= request.deadline)
+            ++swingInTime_;
+        carryOut(server, server.admission.finish(timePoint(now_), RequestId(id)));
+    }
+
+    /// As AgentTraffic::offerWaiting() does it.
+    void offerWaiting()
+    {
+        for (std::size_t index = 0; index < servers_.size(); ++index) {
+            Server &server = servers_[index];
+            for (int offer = 0; offer < 4 && server.admission.waitingCount() > 0; ++offer) {
+                const auto limit =
+                    server.admission.expectedWait(timePoint(now_), WorkClass::Short) / 2;
+                const std::size_t peer = random_() % servers_.size();
+                const auto ticket = server.admission.takeLastWaiting(WorkClass::Short);
+                if (!ticket)
+                    break;
+                const auto id = std::uint64_t(ticket->id);
+                Request &request = requests_.at(id);
+                const bool takes =
+                    peer != index && !request.wasOffered
+                    && servers_[peer].admission.expectedWait(timePoint(now_), WorkClass::Short)
+                           < limit;
+                request.wasOffered = true;
+                if (takes) {
+                    request.server = peer;
+                    moveOneFlow(index, peer);
+                }
+                submit(id);
+                if (!takes)
+                    break;
+            }
+        }
+    }
+
+    void moveOneFlow(std::size_t from, std::size_t to)
+    {
+        if (const auto flow = std::find(flows_.begin(), flows_.end(), from); flow != flows_.end())
+            *flow = to;
+    }
+
+    Scenario scenario_;
+    std::mt19937_64 random_;
+    std::unique_ptr<Routing::ServiceTable> table_;
+    std::vector<Server> servers_;
+    double arrivalsPerMs_ = 0;
+    double now_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::unordered_map<std::uint64_t, Request> requests_;
+    std::vector<std::size_t> flows_;
+    std::uint64_t nextId_ = 0;
+    std::vector<double> shortLatencies_;
+    double longArrivals_ = 0;
+    double longRefused_ = 0;
+    double swingArrivals_ = 0;
+    double swingInTime_ = 0;
+};
+
+/// Median of \a measure over simulations with fixed seeds.
+template<typename F>
+double median(const Scenario &scenario, F measure)
+{
+    std::vector<double> values;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Simulation simulation(scenario, seed);
+        simulation.run();
+        values.push_back(measure(simulation));
+    }
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+double imbalanceOf(Placement placement)
+{
+    Scenario scenario;
+    scenario.placement = placement;
+    return median(scenario, [](const Simulation &simulation) { return simulation.imbalance(); });
+}
+
+double stragglerRatioOf(Discipline discipline)
+{
+    Scenario without;
+    without.discipline = discipline;
+    Scenario with = without;
+    with.stragglers = 0.02;
+    const auto p99 = [](const Simulation &simulation) { return simulation.shortP99(); };
+    return median(with, p99) / median(without, p99);
+}
+
+double longRefusedOf(Discipline discipline)
+{
+    Scenario scenario;
+    scenario.discipline = discipline;
+    scenario.stragglers = 0.02;
+    return median(scenario,
+                  [](const Simulation &simulation) { return simulation.longRefusedShare(); });
+}
+
+double crestOf(Discipline discipline)
+{
+    Scenario scenario;
+    scenario.discipline = discipline;
+    scenario.swing = 3.0;
+    scenario.deadline = milliseconds(1000);
+    return median(scenario, [](const Simulation &simulation) {
+        return simulation.swingInTime() / simulation.swingBound();
+    });
+}
+
+} // namespace
+
+nlohmann::json measurePolicy()
+{
+    return {{"imbalance", imbalanceOf(Placement::Gypsumwing)},
+            {"imbalanceFlowHash", imbalanceOf(Placement::FlowHash)},
+            {"imbalanceReportedChoice", imbalanceOf(Placement::ReportedChoice)},
+            {"shortP99WithStragglersRatio", stragglerRatioOf(Discipline::Classes)},
+            {"shortP99WithStragglersRatioFifo", stragglerRatioOf(Discipline::Fifo)},
+            {"stragglersRefusedShare", longRefusedOf(Discipline::Classes)},
+            {"stragglersRefusedShareFifo", longRefusedOf(Discipline::Fifo)},
+            {"crestGoodputVsBound", crestOf(Discipline::Classes)},
+            {"crestGoodputVsBoundNoRefusal", crestOf(Discipline::NoRefusal)}};
+}
+
+} // namespace Measures
