--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -14,6 +14,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -21,6 +22,7 @@
 #include <atomic>
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <optional>
@@ -229,4 +231,14 @@
     std::thread thread_;
 };
 
+/// Runs \a function on the traffic thread and waits for its result.
+template<typename F>
+auto AgentTraffic::onTrafficThread(F function) -> decltype(function())
+{
+    auto task = std::make_shared<std::packaged_task<decltype(function())()>>(std::move(function));
+    auto result = task->get_future();
+    boost::asio::post(io_, [task] { (*task)(); });
+    return result.get();
+}
+
 } // namespace Agent
--- a/src/libs/agent/peerlink.cpp
+++ b/src/libs/agent/peerlink.cpp
@@ -10,6 +10,7 @@
 
 static constexpr int MaxAttempts = 20;
 static constexpr std::chrono::milliseconds AttemptPause{250};
+static constexpr std::chrono::seconds UnreachablePause{3};
 static constexpr int CallLimitMs = 1500;
 static constexpr std::uint64_t MaxTransferWords = 4 * 1024 * 1024 / sizeof(capnp::word);
 
@@ -162,7 +163,23 @@
 }
 
 /// Makes one attempt; nothing if another attempt is needed to know the outcome.
-std::optional<TransferResult> PeerClient::attempt(Job &job) const
+std::optional<TransferResult> PeerClient::attempt(Job &job)
+{
+    // A frozen peer must not hold up the transfers to the others.
+    const auto now = std::chrono::steady_clock::now();
+    const auto unreachable = unreachableUntil_.find(job.endpoint);
+    const bool isSkipped = unreachable != unreachableUntil_.end() && now < unreachable->second;
+    if (isSkipped && !job.mayHaveArrived)
+        return TransferResult::NotSent;
+    const auto result = call(job);
+    if (!result || *result == TransferResult::NotSent)
+        unreachableUntil_[job.endpoint] = std::chrono::steady_clock::now() + UnreachablePause;
+    else
+        unreachableUntil_.erase(job.endpoint);
+    return result;
+}
+
+std::optional<TransferResult> PeerClient::call(Job &job) const
 {
     ++job.attempts;
     try {
--- a/src/libs/agent/peerlink.h
+++ b/src/libs/agent/peerlink.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -87,12 +88,14 @@
     };
 
     void run();
-    std::optional<TransferResult> attempt(Job &job) const;
+    std::optional<TransferResult> attempt(Job &job);
+    std::optional<TransferResult> call(Job &job) const;
 
     std::mutex mutex_;
     std::condition_variable wake_;
     std::deque<Job> jobs_;
     bool stopping_ = false;
+    std::map<Model::Endpoint, std::chrono::steady_clock::time_point> unreachableUntil_;
     std::thread thread_;
 };
 
