Transfers: the ledger of replies is a part of its own, with tests of lost answers

A transfer whose answer is lost is repeated under its id and taken once; if the repeat meets another incarnation the outcome is unknown, and the sender does not go on with the flow.

--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -12,7 +12,6 @@
 static constexpr std::chrono::milliseconds TickInterval{5};
 static constexpr std::chrono::milliseconds ExpiryInterval{500};
 static constexpr std::chrono::seconds NoticesInterval{10};
-static constexpr std::chrono::minutes TransferReplyLifetime{2};
 static constexpr std::chrono::seconds StateNoticeInterval{1};
 static constexpr std::chrono::seconds BalancerLifetime{60};
 
@@ -244,10 +243,7 @@
     }
     std::erase_if(balancers_,
                   [now](const auto &entry) { return now - entry.second > BalancerLifetime; });
-    while (!transferOrder_.empty() && now - transferOrder_.front().first > TransferReplyLifetime) {
-        transferReplies_.erase(transferOrder_.front().second);
-        transferOrder_.pop_front();
-    }
+    transfers_.expire(now);
     if (wasInDoubt && mayStartNow)
         processAllRequests();
 }
--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -3,6 +3,7 @@
 #include "agent/backendhealth.h"
 #include "agent/peerlink.h"
 #include "agent/requestrunner.h"
+#include "agent/transferledger.h"
 #include "flows/flowdirector.h"
 #include "membership/pausedetector.h"
 #include "membership/prober.h"
@@ -208,8 +209,7 @@
     std::atomic<bool> eventsPosted_ = false;
 
     std::unordered_map<Model::FlowKey, Session> sessions_;
-    std::map<std::uint64_t, TransferReply> transferReplies_;
-    std::deque<std::pair<TimePoint, std::uint64_t>> transferOrder_;
+    TransferLedger transfers_;
     std::size_t movesInProgress_ = 0;
     std::uint64_t nextTransfer_;
     std::mt19937_64 random_;
--- a/src/libs/agent/trafficmoves.cpp
+++ b/src/libs/agent/trafficmoves.cpp
@@ -226,16 +226,15 @@
                          && transfer.receiverIncarnation == self_.incarnation;
     if (!isMeant)
         return TransferReply::OtherInstance;
-    if (const auto known = transferReplies_.find(transfer.id); known != transferReplies_.end())
-        return known->second;
+    if (const auto known = transfers_.find(transfer.id))
+        return *known;
 
     const auto now = std::chrono::steady_clock::now();
     const Flows::Room current = room();
     const bool isTaken = stack_ && current.isReady && current.hasRoom
                          && isShorterWait(transfer.waitLimit) && stack_->importFlow(transfer.tcp);
     const auto reply = isTaken ? TransferReply::Taken : TransferReply::Refused;
-    transferReplies_[transfer.id] = reply;
-    transferOrder_.emplace_back(now, transfer.id);
+    transfers_.add(now, transfer.id, reply);
     if (isTaken)
         adopt(transfer);
     return reply;
--- /dev/null
+++ b/tests/auto/agent/tst_peerlink.cpp
@@ -0,0 +1,142 @@
+#include "agent/peerlink.h"
+#include "agent/transferledger.h"
+
+#include "property.h"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace Agent;
+
+static const Model::InstanceId receiver = Model::instanceId("agent-2");
+
+/// Longer than the client waits for an answer.
+static constexpr std::chrono::milliseconds LostAnswer{2200};
+
+namespace {
+
+/// A peer whose first answers are lost, since they come too late.
+class Peer
+{
+public:
+    Peer(std::uint64_t incarnation, int lostAnswers)
+        : lostAnswers_(lostAnswers)
+    {
+        PeerServer::Handlers handlers;
+        handlers.offer = [](Model::InstanceId instance, Model::Incarnation,
+                            std::chrono::milliseconds) { return instance == receiver; };
+        handlers.take = [this, incarnation](const FlowTransfer &transfer) {
+            return take(Model::Incarnation(incarnation), transfer);
+        };
+        for (port_ = 23100; !server_; ++port_) {
+            try {
+                server_ = std::make_unique<PeerServer>(endpoint(), handlers);
+                break;
+            } catch (const kj::Exception &) {
+                // The port is in use.
+            }
+        }
+    }
+
+    Model::Endpoint endpoint() const { return {0x7f000001, port_}; }
+    int takenCount() const { return takenCount_; }
+
+private:
+    TransferReply take(Model::Incarnation incarnation, const FlowTransfer &transfer)
+    {
+        TransferReply reply = TransferReply::OtherInstance;
+        if (transfer.receiverIncarnation == incarnation) {
+            const auto known = ledger_.find(transfer.id);
+            reply = known.value_or(TransferReply::Taken);
+            if (!known) {
+                ledger_.add({}, transfer.id, reply);
+                ++takenCount_;
+            }
+        }
+        if (lostAnswers_-- > 0)
+            std::this_thread::sleep_for(LostAnswer);
+        return reply;
+    }
+
+    std::atomic<int> lostAnswers_;
+    std::atomic<int> takenCount_ = 0;
+    TransferLedger ledger_;
+    std::uint16_t port_ = 0;
+    std::unique_ptr<PeerServer> server_;
+};
+
+TransferResult transferTo(const Model::Endpoint &endpoint, Model::InstanceId instance,
+                          std::uint64_t incarnation)
+{
+    FlowTransfer transfer;
+    transfer.id = 7;
+    transfer.receiver = instance;
+    transfer.receiverIncarnation = Model::Incarnation(incarnation);
+    transfer.unreadBytes = "POST /orders HTTP/1.1\r\n";
+    PeerClient client;
+    std::promise<TransferResult> result;
+    client.transfer(endpoint, transfer,
+                    [&result](TransferResult value) { result.set_value(value); });
+    return result.get_future().get();
+}
+
+} // namespace
+
+TEST_GROUP(PeerLink){};
+
+TEST(PeerLink, TransferIsTakenOnce)
+{
+    const Peer peer(5, 0);
+    CHECK_TRUE(transferTo(peer.endpoint(), receiver, 5) == TransferResult::Taken);
+    CHECK_EQUAL(1, peer.takenCount());
+}
+
+TEST(PeerLink, TransferWhoseAnswerIsLostIsTakenOnce)
+{
+    const Peer peer(5, 1);
+    CHECK_TRUE(transferTo(peer.endpoint(), receiver, 5) == TransferResult::Taken);
+    CHECK_EQUAL(1, peer.takenCount());
+}
+
+TEST(PeerLink, ReceiverThatRestartedAfterALostAnswerIsUnknown)
+{
+    // The repeat meets another incarnation, and nobody knows what the first one did.
+    const Peer peer(6, 1);
+    CHECK_TRUE(transferTo(peer.endpoint(), receiver, 5) == TransferResult::Unknown);
+    CHECK_EQUAL(0, peer.takenCount());
+}
+
+TEST(PeerLink, OtherIncarnationAtTheFirstAttemptIsARefusal)
+{
+    const Peer peer(6, 0);
+    CHECK_TRUE(transferTo(peer.endpoint(), receiver, 5) == TransferResult::Refused);
+}
+
+TEST(PeerLink, RefusedOfferIsARefusal)
+{
+    const Peer peer(5, 0);
+    CHECK_TRUE(transferTo(peer.endpoint(), Model::instanceId("agent-3"), 5)
+               == TransferResult::Refused);
+    CHECK_EQUAL(0, peer.takenCount());
+}
+
+TEST(PeerLink, NobodyThereIsNotSent)
+{
+    CHECK_TRUE(transferTo({0x7f000001, 1}, receiver, 5) == TransferResult::NotSent);
+}
+
+TEST(PeerLink, RepliesAreForgottenAfterTheirTime)
+{
+    TransferLedger ledger;
+    const TransferLedger::TimePoint now{std::chrono::hours(1)};
+    ledger.add(now, 7, TransferReply::Refused);
+    ledger.expire(now + TransferReplyLifetime);
+    CHECK_TRUE(ledger.find(7) == TransferReply::Refused);
+    ledger.expire(now + TransferReplyLifetime + std::chrono::seconds(1));
+    CHECK_FALSE(ledger.find(7).has_value());
+}
