--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -158,6 +158,7 @@
     void pump(const Model::FlowKey &flow, Session &session);
     void write(const Model::FlowKey &flow, const std::string &bytes);
     void endAnswer(const Model::FlowKey &flow, bool keepsOpen);
+    void finishFlow(const Model::FlowKey &flow, Session &session);
     void breakOff(const Model::FlowKey &flow);
     void giveBack(const Model::FlowKey &flow, const Requests::HttpRequest &request);
     void closeFlow(const Model::FlowKey &flow);
--- a/src/libs/agent/trafficmoves.cpp
+++ b/src/libs/agent/trafficmoves.cpp
@@ -138,9 +138,12 @@
     move.transfer.tcp = *tcp;
     move.transfer.unreadBytes = session.reader.unreadBytes();
     move.transfer.waitLimit = waitLimit;
-    if (session.requestDeadline)
-        move.transfer.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+    if (session.requestDeadline) {
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
             *session.requestDeadline - std::chrono::steady_clock::now());
+        // 0 would stand for no deadline of its own.
+        move.transfer.deadline = std::max(remaining, std::chrono::milliseconds(1));
+    }
     session.isMoving = true;
     director_.beginMove(flow);
     ++movesInProgress_;
--- a/src/libs/agent/trafficsessions.cpp
+++ b/src/libs/agent/trafficsessions.cpp
@@ -47,9 +47,8 @@
     if (!session)
         return;
     session->farEndClosed = true;
-    const bool isBusy = runner_.hasRequest(event.flow) && !runner_.hasFeed(event.flow);
-    if (!isBusy && session->outgoing.empty())
-        closeFlow(event.flow);
+    if (!runner_.hasRequest(event.flow) || runner_.hasFeed(event.flow))
+        finishFlow(event.flow, *session);
 }
 
 void AgentTraffic::onEvent(const Stack::Gone &event)
@@ -122,10 +121,29 @@
     Session *const session = find(flow);
     if (!session)
         return;
-    session->closesWhenSent = !keepsOpen || session->farEndClosed;
-    if (session->closesWhenSent && session->outgoing.empty())
-        return closeFlow(flow);
+    if (!keepsOpen) {
+        session->closesWhenSent = true;
+        return pump(flow, *session);
+    }
     processRequests(flow, *session);
+    // A caller that sends nothing more may still wait for answers to what it sent before.
+    Session *const remaining = find(flow);
+    if (remaining && remaining->farEndClosed && !runner_.hasRequest(flow))
+        finishFlow(flow, *remaining);
+}
+
+/// Closes a flow whose far end sends nothing more, once its answers are sent. Such a flow can't be
+/// moved, so that requests which this agent may not run any more are refused.
+void AgentTraffic::finishFlow(const Model::FlowKey &flow, Session &session)
+{
+    while (const auto next = session.reader.next()) {
+        if (!std::holds_alternative<Requests::HttpRequest>(*next))
+            break;
+        ++counters_.requestsRefused;
+        session.outgoing += Requests::refusalAnswer(Requests::RefusalCause::Stopping, 1, true);
+    }
+    session.closesWhenSent = true;
+    pump(flow, session);
 }
 
 void AgentTraffic::breakOff(const Model::FlowKey &flow)
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -15,8 +15,8 @@
 struct PacketHeader
 {
     Routing::Chain chain;
-    std::uint8_t position = 0; ///< index into chain of the receiver
-    std::uint8_t passes = 0;   ///< how often agents passed the packet on
+    std::uint8_t position = 0;  ///< index into chain of the receiver
+    std::uint8_t passes = 0;    ///< how often agents passed the packet on
     std::uint8_t redirects = 0; ///< how often it followed a redirect
     bool opensFlow = false;
 };
--- a/tests/auto/control/tst_clusterview.cpp
+++ b/tests/auto/control/tst_clusterview.cpp
@@ -104,3 +104,18 @@
     CHECK_FALSE(view.apply(
         {}, {Model::instanceId("agent-1"), Model::Incarnation(4), Model::InstanceState::Suspect}));
 }
+
+TEST(ClusterView, NoticeIsSupersededByAListingToo)
+{
+    using Model::InstanceState;
+    const auto announced = announcementOf(InstanceState::Ready, 2);
+    ClusterView view;
+    view.apply(Platform::Listing{
+        Platform::Revision(2),
+        {configurationObject(1, 1), {announced.key, announced.version, *announced.value}}});
+    view.apply({}, {Model::instanceId("agent-1"), Model::Incarnation(5), InstanceState::Suspect});
+    CHECK_TRUE(stateIn(view) == InstanceState::Suspect);
+    view.apply(Platform::Listing{Platform::Revision(3),
+                                 {{announced.key, Platform::Version(3), *announced.value}}});
+    CHECK_TRUE(stateIn(view) == InstanceState::Ready);
+}
--- a/tests/auto/flows/tst_flownetwork.cpp
+++ b/tests/auto/flows/tst_flownetwork.cpp
@@ -620,3 +620,27 @@
     CHECK_EQUAL(1u, director.expire(start + HalfOpenTimeout).size());
     CHECK_EQUAL(0u, director.openCount());
 }
+
+TEST(FlowNetwork, ClaimWithSmallerEpochIsAskedSecond)
+{
+    const Routing::Hop other{Model::InstanceId(3), Model::Incarnation(7), {0x7f000001, 3}};
+    FlowDirector director(self, service);
+    director.onRedirects(start, peer, {{syn().flow, Tunnel::Epoch(2)}});
+    director.onRedirects(start, other, {{syn().flow, Tunnel::Epoch(1)}});
+    Tunnel::TcpPacket data = syn();
+    data.syn = false;
+    data.ack = true;
+    const auto decision = director.onPacket(start, service, headerTo({self}), data, fullRoom);
+    const auto &chain = std::get<PassOn>(decision.verdict).header.chain;
+    CHECK_EQUAL(2u, chain.size());
+    CHECK_TRUE(chain[0] == peer);
+    CHECK_TRUE(chain[1] == other);
+}
+
+TEST(FlowNetwork, OtherServiceIsDroppedEvenUnderTheSameInstance)
+{
+    FlowDirector director(self, service);
+    const auto decision = director.onPacket(start, Model::serviceId("yard-ticket"),
+                                            headerTo({self}), syn(), fullRoom);
+    CHECK_TRUE(std::get<Drop>(decision.verdict).cause == DropCause::OtherService);
+}
--- a/tests/auto/requests/tst_admission.cpp
+++ b/tests/auto/requests/tst_admission.cpp
@@ -284,3 +284,15 @@
         }
     });
 }
+
+TEST(Admission, PressedLongWorkTakesNoThirdSlot)
+{
+    const TimePoint now{std::chrono::hours(1)};
+    Admission admission({4, 1, 100});
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        admission.submit(
+            now, ticketOf(id, WorkClass::Long, milliseconds(1000), now + milliseconds(5000)));
+    admission.tick(now + milliseconds(3100));
+    CHECK_EQUAL(2u, admission.runningCount());
+    CHECK_EQUAL(1u, admission.waitingCount());
+}
