--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -325,7 +325,7 @@
 
 static const std::vector<Command> &commands()
 {
-    static const std::vector<Command> All{
+    static const std::vector<Command> all{
         {"template", "", "print a questionnaire with comments to fill in", 0, printTemplate},
         {"generate", "ANSWERS", "check answers and print the configuration", 1, generate},
         {"diff", "ANSWERS", "show what accepting would change (--platform)", 1, diff},
@@ -337,7 +337,7 @@
         {"explain", "CALLER SERVICE", "show which agents a flow asks, and why (--platform)", 2,
          explain},
     };
-    return All;
+    return all;
 }
 
 std::string help(const std::string &command)
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -49,6 +49,8 @@
             return boost::leaf::new_error(Failure{FailureKind::Unreachable});
         if (Platform::versionBefore(precondition) != Platform::Version(history_.size()))
             return boost::leaf::new_error(Failure{FailureKind::Conflict});
+        if (losesWrite_)
+            return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
         history_.push_back(value);
         if (losesAnswer_)
             return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
@@ -85,6 +87,7 @@
     std::vector<std::string> history_;
     std::size_t staleness_ = 0;
     std::size_t interference_ = 0;
+    bool losesWrite_ = false; ///< on the way to the platform
     bool losesAnswer_ = false;
     bool readsFail_ = false;
     bool writesFail_ = false;
@@ -114,6 +117,7 @@
         for (int number = 0; number < count; ++number) {
             ++generatedSteps;
             platform.losesAnswer_ = *rc::gen::inRange(0, 3) == 0;
+            platform.losesWrite_ = *rc::gen::inRange(0, 4) == 0;
             platform.readsFail_ = false;
             platform.writesFail_ = *rc::gen::inRange(0, 8) == 0;
             platform.staleness_ = *rc::gen::inRange(0, 5) == 0 ? 1 : 0;
@@ -123,8 +127,8 @@
             const auto result =
                 accept(platform, candidateOf(number), std::nullopt, changeId, [&](int readBack) {
                     platform.readsFail_ = readBack < recovery;
-                    platform.staleness_ = readBack % 2;
-                    platform.interference_ = readBack == 1 ? 1 : 0;
+                    platform.staleness_ = std::size_t(readBack + number) % 2;
+                    platform.interference_ = readBack == number % 4 ? 1 : 0;
                 });
             platform.readsFail_ = false;
             if (result.acceptance == Acceptance::InForce)
--- a/tests/auto/tunnel/tst_datagram.cpp
+++ b/tests/auto/tunnel/tst_datagram.cpp
@@ -76,3 +76,10 @@
         RC_ASSERT(!header || header->position < header->chain.size());
     });
 }
+
+TEST(Datagram, PositionBehindTheChainIsRefused)
+{
+    Datagram datagram = packetDatagram(2);
+    std::get<PacketHeader>(datagram.content).position = 2;
+    CHECK_FALSE(decodeDatagram(encodeDatagram(datagram)).has_value());
+}
