--- a/tests/auto/routing/tst_servicetable.cpp
+++ b/tests/auto/routing/tst_servicetable.cpp
@@ -53,6 +53,7 @@
             else if (members.contains(number))
                 members[number].state = Model::InstanceState(*rc::gen::inRange(0, 3));
             std::vector<Model::Instance> instances;
+            instances.reserve(members.size());
             for (const auto &[key, instance] : members)
                 instances.push_back(instance);
             std::sort(instances.begin(), instances.end(),
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -89,14 +89,14 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
         throw std::runtime_error("outage");
     }
-    static const std::string ObjectsPath = "/v1/objects";
+    static const std::string objectsPath = "/v1/objects";
     if (path == "/v1/watch")
         return watch(request, response);
-    if (path == ObjectsPath)
+    if (path == objectsPath)
         return list(queryOf(request)["prefix"], response);
-    if (!path.starts_with(ObjectsPath + '/'))
+    if (!path.starts_with(objectsPath + '/'))
         return sendJson(response, NotFound, nullptr);
-    const std::string key = path.substr(ObjectsPath.size() + 1);
+    const std::string key = path.substr(objectsPath.size() + 1);
     if (request.getMethod() == "GET")
         read(key, response);
     else
