--- a/src/daemon/agentprocess.cpp
+++ b/src/daemon/agentprocess.cpp
@@ -8,7 +8,7 @@
 #include "membership/announcement.h"
 #include "observability/adminserver.h"
 #include "observability/log.h"
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,10 +34,10 @@
     const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
     std::uint64_t incarnation = std::uint64_t(now.count());
-    Platform::HttpObjectClient client(process.platform, StartCallTimeout);
+    Store::HttpObjectClient client(process.platform, StartCallTimeout);
     const auto read =
-        Platform::attempt([&] { return client.read(Membership::instanceKey(process.name)); });
-    if (const auto *object = std::get_if<Platform::Object>(&read)) {
+        Store::attempt([&] { return client.read(Membership::instanceKey(process.name)); });
+    if (const auto *object = std::get_if<Store::Object>(&read)) {
         if (const auto earlier = Membership::decodeAnnouncement(object->value))
             incarnation = std::max(incarnation, std::uint64_t(earlier->incarnation) + 1);
     }
--- /dev/null
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -0,0 +1,189 @@
+#include "forwardingbalancerprocess.h"
+
+#include "processmetrics.h"
+#include "processsignals.h"
+#include "settingsfile.h"
+
+#include "configuration/routeconfiguration.h"
+#include "control/configurationfollower.h"
+#include "forwarding/balancertraffic.h"
+#include "observability/adminserver.h"
+#include "platform/objectstore.h"
+#include "platform/operatorconfiguration.h"
+#include "platform/packetcodec.h"
+#include "platform/platformserver.h"
+#include "store/httpobjectclient.h"
+
+#include <random>
+#include <thread>
+
+namespace Daemon {
+
+using Observability::Level;
+using Observability::log;
+using Traffic = Forwarding::BalancerTraffic<Platform::PacketCodec>;
+using Follower = Control::ConfigurationFollower<Platform::ObjectStore>;
+
+/// Longest wait for an answer of the store, which answers in milliseconds.
+static constexpr std::chrono::milliseconds StoreTimeout{1500};
+
+/// Longest wait for a peer that hands its configuration on: a third of the shortest bound in which
+/// a configuration must be in force.
+static constexpr std::chrono::milliseconds PeerTimeout{1000};
+
+/// How long the store may take to tell of a configuration before a peer is asked for it.
+static constexpr std::chrono::milliseconds PeerPatience{200};
+
+/// How often the main thread looks for changed settings and newer configurations.
+static constexpr std::chrono::milliseconds ControlInterval{100};
+
+/// Time in which the platform's routers stop to send packets: two missed readiness checks, half a
+/// second apart, and half a second for packets on their way.
+static constexpr std::chrono::milliseconds WithdrawalTime{1500};
+
+static constexpr const char *ConfigurationPage = "/snapshot";
+
+static std::uint64_t startNumber()
+{
+    using namespace std::chrono;
+    return std::uint64_t(
+        duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+static Tunnel::Member selfOf(const Configuration::ForwardingSettings &settings)
+{
+    Tunnel::Member self;
+    self.role = Tunnel::Role::Balancer;
+    self.instance.name = settings.name;
+    self.instance.failureDomain = settings.failureDomain;
+    self.instance.tunnel = settings.tunnel;
+    self.instance.peer = settings.pages;
+    self.instance.incarnation = Model::Incarnation(startNumber());
+    return self;
+}
+
+/// Seeds are named by their control address; datagrams go to the same port on every instance.
+static std::vector<Model::Endpoint> seedTunnels(const Configuration::ForwardingSettings &settings)
+{
+    std::vector<Model::Endpoint> tunnels;
+    for (const Model::Endpoint &seed : settings.seeds) {
+        if (seed.address != settings.tunnel.address)
+            tunnels.push_back({seed.address, settings.tunnel.port});
+    }
+    return tunnels;
+}
+
+static nlohmann::json stateOf(const std::string &name, Traffic &traffic, const Follower &follower,
+                              const Platform::ObjectStore &store)
+{
+    const Forwarding::BalancerCounters &counters = traffic.counters();
+    return traffic.with([&](const Forwarding::BalancerCore &core) {
+        nlohmann::json agents = nlohmann::json::object();
+        for (const Model::Instance &agent : core.roster().agents())
+            agents[agent.name] = Model::stateText(agent.state);
+        return nlohmann::json{
+            {"role", "forwarding-balancer"},
+            {"name", name},
+            {"generation", std::uint64_t(core.configuration().generation)},
+            {"routes", core.configuration().routes.size()},
+            {"storeInStep", follower.isInStep()},
+            {"storeCalls", store.callCount()},
+            {"agents", agents},
+            {"balancers", core.roster().balancers().size()},
+            {"cachedFlows", core.cachedFlows()},
+            {"omittedLogLines", Observability::omittedLogLines()},
+            {"packets",
+             {{"received", counters.received.load()},
+              {"forwarded", counters.forwarded.load()},
+              {"unreadable", counters.unreadable.load()},
+              {"resets", counters.resets.load()},
+              {"dropped", counters.dropped.load()}}}};
+    });
+}
+
+/// Fetches a configuration that a peer has and the store did not tell of in time.
+static void fetchNewerConfiguration(Traffic &traffic, Follower &follower)
+{
+    const auto newer = traffic.with(
+        [](const Forwarding::BalancerCore &core) { return core.newerConfiguration(); });
+    if (!newer || std::chrono::steady_clock::now() - newer->since < PeerPatience)
+        return;
+    Store::HttpObjectClient peer(newer->pages, PeerTimeout);
+    const auto page = Store::attempt([&] { return peer.page(ConfigurationPage); });
+    if (const auto *failure = std::get_if<Store::FailureKind>(&page)) {
+        log(Level::Warning, "peer-configuration-failed",
+            {{"peer", Model::endpointText(newer->pages)}, {"cause", Store::failureText(*failure)}});
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(document, Configuration::Document::parse(
+                                          "peer", std::get<std::string>(page)));
+            BOOST_LEAF_AUTO(configuration, Configuration::decodeRoutes(document));
+            follower.offer(configuration, Model::endpointText(newer->pages));
+            return {};
+        },
+        [](const Configuration::FileError &error) {
+            log(Level::Error, "peer-configuration-refused",
+                {{"error", Configuration::errorText(error)}});
+        },
+        [] { log(Level::Error, "peer-configuration-refused"); });
+}
+
+void runForwardingBalancer(const Configuration::ForwardingBalancerSettings &settings,
+                           const std::string &settingsPath)
+{
+    const Configuration::ForwardingSettings &process = settings.process;
+    SettingsFile file(settingsPath);
+    Traffic traffic({selfOf(process), process.callers});
+    traffic.with([&](Forwarding::BalancerCore &core) { core.setSeeds(seedTunnels(process)); });
+    traffic.start();
+
+    Platform::ObjectStore store(process.store, StoreTimeout);
+    Follower follower(store, {Platform::ConfigurationKey, "config/", std::random_device()(),
+                              Platform::readOperatorConfiguration,
+                              [&traffic](const Model::Configuration &configuration) {
+                                  traffic.with([&](Forwarding::BalancerCore &core) {
+                                      core.setConfiguration(configuration);
+                                  });
+                              }});
+    std::atomic<bool> isStopping = false;
+    const Platform::PlatformServer server(
+        {process.readiness, process.control},
+        {[&] {
+             return !isStopping && traffic.with([](const Forwarding::BalancerCore &core) {
+                 return core.isConfigured() && !core.roster().agents().empty();
+             });
+         },
+         {},
+         {}});
+    const auto state = [&] { return stateOf(process.name, traffic, follower, store); };
+    const Observability::AdminServer pages(
+        process.pages, std::make_shared<ProcessMetrics>(state), state,
+        [&follower] { return Configuration::encodeRoutes(follower.current()); });
+    log(Level::Info, "started",
+        {{"role", "forwarding-balancer"},
+         {"name", process.name},
+         {"seeds", process.seeds.size()}});
+
+    while (true) {
+        const ProcessSignal signal = waitForSignal(ControlInterval);
+        if (signal == ProcessSignal::Stop)
+            break;
+        if (signal == ProcessSignal::Reload)
+            file.invalidate();
+        if (const auto changed = file.readIfChanged()) {
+            if (const auto *now = std::get_if<Configuration::ForwardingBalancerSettings>(&*changed))
+                traffic.with([now](Forwarding::BalancerCore &core) {
+                    core.setSeeds(seedTunnels(now->process));
+                });
+        }
+        fetchNewerConfiguration(traffic, follower);
+    }
+    log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
+    isStopping = true;
+    std::this_thread::sleep_for(WithdrawalTime);
+    traffic.stop(false);
+}
+
+} // namespace Daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,7 @@
 #include "agentprocess.h"
 #include "balancerprocess.h"
+#include "forwardingagentprocess.h"
+#include "forwardingbalancerprocess.h"
 
 #include "observability/log.h"
 
@@ -26,13 +28,14 @@
 using Observability::Level;
 using Observability::log;
 
-/// Blocks SIGTERM and SIGINT in this thread and those that it starts.
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and those that it starts.
 static sigset_t blockStopSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return signals;
 }
@@ -41,15 +44,23 @@
 {
     const sigset_t signals = blockStopSignals();
     const auto waitForStop = [&signals] {
-        int signal = 0;
-        sigwait(&signals, &signal);
+        // These roles have nothing to read again.
+        for (int signal = SIGHUP; signal == SIGHUP;)
+            sigwait(&signals, &signal);
     };
     try {
         if (const auto *balancer = std::get_if<Configuration::BalancerSettings>(&settings))
             runBalancer(*balancer, waitForStop);
+        else if (const auto *agent = std::get_if<Configuration::AgentSettings>(&settings))
+            runAgent(*agent, waitForStop);
+        else if (const auto *forwarding =
+                     std::get_if<Configuration::ForwardingBalancerSettings>(&settings))
+            runForwardingBalancer(*forwarding, FLAGS_settings);
         else
-            runAgent(std::get<Configuration::AgentSettings>(settings), waitForStop);
+            runForwardingAgent(std::get<Configuration::ForwardingAgentSettings>(settings),
+                               FLAGS_settings);
         log(Level::Info, "stopped");
+        Observability::flushLog();
         return 0;
     } catch (const std::system_error &error) {
         log(Level::Error, "start-failed", {{"error", error.what()}});
--- /dev/null
+++ b/src/libs/configuration/routeconfiguration.cpp
@@ -0,0 +1,54 @@
+#include "configuration/routeconfiguration.h"
+
+namespace Configuration {
+
+static constexpr auto MostGeneration = std::numeric_limits<std::int64_t>::max();
+static constexpr std::int64_t MostWeight = std::numeric_limits<std::int32_t>::max();
+static constexpr std::int64_t MostIdleMs = 86'400'000;
+
+nlohmann::json encodeRoutes(const Model::Configuration &configuration)
+{
+    nlohmann::json services = nlohmann::json::array();
+    for (const Model::Service &service : configuration.services)
+        services.push_back(service.name);
+    nlohmann::json routes = nlohmann::json::array();
+    for (const Model::Route &route : configuration.routes) {
+        nlohmann::json targets = nlohmann::json::array();
+        for (const Model::RouteTarget &target : route.targets)
+            targets.push_back({{"service", target.service}, {"weight", target.weight}});
+        routes.push_back({{"address", Model::endpointText(route.address)}, {"targets", targets}});
+    }
+    return {{"generation", std::uint64_t(configuration.generation)},
+            {"idleFlowTimeoutMs", configuration.idleFlowTimeout.count()},
+            {"services", std::move(services)},
+            {"routes", std::move(routes)}};
+}
+
+boost::leaf::result<Model::Configuration> decodeRoutes(const Document &document)
+{
+    ObjectReader reader(document);
+    Model::Configuration configuration;
+    configuration.generation = Model::Generation(reader.integer("generation", 0, MostGeneration));
+    configuration.idleFlowTimeout =
+        std::chrono::milliseconds(reader.integer("idleFlowTimeoutMs", 0, MostIdleMs));
+    for (const std::string &name : reader.strings("services")) {
+        Model::Service service;
+        service.name = name;
+        configuration.services.push_back(std::move(service));
+    }
+    for (ObjectReader &entry : reader.objects("routes")) {
+        Model::Route route;
+        route.address = entry.endpoint("address");
+        for (ObjectReader &target : entry.objects("targets")) {
+            const std::string service = target.string("service");
+            const auto weight = target.integer("weight", 0, MostWeight);
+            route.targets.push_back({service, std::uint32_t(weight)});
+        }
+        configuration.routes.push_back(std::move(route));
+    }
+    if (auto problem = reader.problem())
+        return boost::leaf::new_error(std::move(*problem));
+    return configuration;
+}
+
+} // namespace Configuration
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -12,6 +12,8 @@
 static constexpr std::int64_t LargestPacketBytes = 1500;
 static constexpr std::int64_t DefaultPacketBytes = 1240;
 
+static constexpr std::int64_t LargestFlowSeconds = 86'400;
+
 static ProcessSettings readProcess(ObjectReader &reader)
 {
     ProcessSettings process;
@@ -42,15 +44,53 @@
     return agent;
 }
 
+static ForwardingSettings readForwarding(ObjectReader &reader)
+{
+    ForwardingSettings process;
+    process.name = reader.string("name");
+    process.failureDomain = reader.string("failureDomain");
+    process.tunnel = reader.endpoint("tunnel");
+    process.pages = reader.endpoint("pages");
+    process.store = reader.endpoint("store");
+    process.callers = reader.endpoint("callers");
+    process.readiness = reader.endpoint("readiness");
+    process.control = reader.endpoint("control");
+    process.seeds = reader.endpointsOr("seeds");
+    process.isFirstStart = reader.boolean("firstStart");
+    return process;
+}
+
+static ForwardingAgentSettings readForwardingAgent(ObjectReader &reader)
+{
+    ForwardingAgentSettings agent;
+    agent.process = readForwarding(reader);
+    agent.service = reader.string("service");
+    agent.backend = reader.endpoint("backend");
+    agent.outbound = reader.endpoint("outbound");
+    agent.longestFlow =
+        std::chrono::seconds(reader.integer("longestFlowSeconds", 1, LargestFlowSeconds));
+    return agent;
+}
+
 boost::leaf::result<Settings> readSettings(const Document &document)
 {
     ObjectReader reader(document);
-    const std::size_t role = reader.choice("role", {"balancer", "agent"});
+    const std::size_t role = reader.choice(
+        "role", {"balancer", "agent", "forwarding-balancer", "forwarding-agent"});
     Settings settings;
-    if (role == 0)
+    switch (role) {
+    case 0:
         settings = BalancerSettings{readProcess(reader)};
-    else
+        break;
+    case 1:
         settings = readAgent(reader);
+        break;
+    case 2:
+        settings = ForwardingBalancerSettings{readForwarding(reader)};
+        break;
+    default:
+        settings = readForwardingAgent(reader);
+    }
     if (auto problem = reader.problem())
         return boost::leaf::new_error(std::move(*problem));
     return settings;
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -39,7 +39,37 @@
     std::uint16_t maximumPacketBytes = 0;   ///< largest packet of a caller, for the segment size
 };
 
-using Settings = std::variant<BalancerSettings, AgentSettings>;
+/// Settings that both roles of processes that carry callers' packets unchanged have.
+struct ForwardingSettings
+{
+    std::string name;
+    std::string failureDomain;
+    Model::Endpoint tunnel;             ///< where datagrams of other processes arrive
+    Model::Endpoint pages;              ///< HTTP: metrics, state dump, configuration for peers
+    Model::Endpoint store;              ///< the platform's store
+    Model::Endpoint callers;            ///< where callers' packets arrive; callers use its port too
+    Model::Endpoint readiness;          ///< where the platform asks whether to send packets here
+    Model::Endpoint control;            ///< where backend servers report
+    std::vector<Model::Endpoint> seeds; ///< control addresses of balancers to start from
+    bool isFirstStart = false;          ///< the whole system starts for the first time
+};
+
+struct ForwardingBalancerSettings
+{
+    ForwardingSettings process;
+};
+
+struct ForwardingAgentSettings
+{
+    ForwardingSettings process;
+    std::string service;
+    Model::Endpoint backend;             ///< the backend server beside this agent
+    Model::Endpoint outbound;            ///< where the backend server sends its packets
+    std::chrono::seconds longestFlow{0}; ///< age after which a flow may be discarded
+};
+
+using Settings = std::variant<BalancerSettings, AgentSettings, ForwardingBalancerSettings,
+                              ForwardingAgentSettings>;
 
 /// Checks the settings in \a document. Fails with FileError.
 boost::leaf::result<Settings> readSettings(const Document &document);
--- a/src/libs/control/announcementkeeper.cpp
+++ b/src/libs/control/announcementkeeper.cpp
@@ -39,13 +39,13 @@
         return Rest{TimePoint::max()};
     if (leaving_)
         return RemoveAnnouncement{version_};
-    Platform::Precondition precondition = Platform::IfAbsent{};
+    Store::Precondition precondition = Store::IfAbsent{};
     if (announced_)
-        precondition = Platform::IfVersion{version_};
+        precondition = Store::IfVersion{version_};
     return WriteAnnouncement{wanted_, precondition};
 }
 
-void AnnouncementKeeper::onSeen(Platform::Version version,
+void AnnouncementKeeper::onSeen(Store::Version version,
                                 const std::optional<Model::Instance> &announced)
 {
     // A stale read, or a watch that reports what this agent wrote itself.
@@ -65,7 +65,7 @@
     }
 }
 
-void AnnouncementKeeper::onWritten(Platform::Version version,
+void AnnouncementKeeper::onWritten(Store::Version version,
                                    const std::optional<Model::Instance> &written)
 {
     backoff_.onSuccess();
@@ -75,16 +75,16 @@
     left_ = leaving_ && !written;
 }
 
-void AnnouncementKeeper::onFailed(TimePoint now, Platform::FailureKind kind)
+void AnnouncementKeeper::onFailed(TimePoint now, Store::FailureKind kind)
 {
-    if (kind == Platform::FailureKind::NotFound) {
+    if (kind == Store::FailureKind::NotFound) {
         // No announcement yet, or it is deleted already.
         isKnown_ = true;
         announced_.reset();
         left_ = leaving_;
         return;
     }
-    if (kind == Platform::FailureKind::Conflict || kind == Platform::FailureKind::OutcomeUnknown)
+    if (kind == Store::FailureKind::Conflict || kind == Store::FailureKind::OutcomeUnknown)
         isKnown_ = false;
     notBefore_ = now + backoff_.onFailure();
 }
--- a/src/libs/control/announcementkeeper.h
+++ b/src/libs/control/announcementkeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "model/identity.h"
-#include "platform/backoff.h"
-#include "platform/objectclient.h"
+#include "store/backoff.h"
+#include "store/objectclient.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,13 +20,13 @@
 struct WriteAnnouncement
 {
     Model::Instance instance;
-    Platform::Precondition precondition;
+    Store::Precondition precondition;
 };
 
 /// Delete the own announcement if it still has this version.
 struct RemoveAnnouncement
 {
-    Platform::Version version;
+    Store::Version version;
 };
 
 /// Nothing to do before this time, or before the next input.
@@ -59,13 +59,13 @@
     AnnouncementStep next(TimePoint now) const;
 
     /// Notes the announcement as read, or as a watch reported it; nothing if there is none.
-    void onSeen(Platform::Version version, const std::optional<Model::Instance> &announced);
+    void onSeen(Store::Version version, const std::optional<Model::Instance> &announced);
 
     /// Notes that \a written took effect, or a deletion where it is nothing.
-    void onWritten(Platform::Version version, const std::optional<Model::Instance> &written);
+    void onWritten(Store::Version version, const std::optional<Model::Instance> &written);
 
     /// Notes that a call failed; a write with an unknown outcome is read back.
-    void onFailed(TimePoint now, Platform::FailureKind kind);
+    void onFailed(TimePoint now, Store::FailureKind kind);
 
     /// Whether an operator asked for a drain through the announcement.
     bool isDrainAsked() const { return wanted_.drainAsked; }
@@ -80,9 +80,9 @@
 
 private:
     Model::Instance wanted_;
-    Platform::Backoff backoff_;
+    Store::Backoff backoff_;
     std::optional<Model::Instance> announced_;
-    Platform::Version version_{};
+    Store::Version version_{};
     bool isKnown_ = false;
     bool leaving_ = false;
     bool left_ = false;
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -14,10 +14,10 @@
     : table_(std::make_shared<Routing::RoutingTable>())
 {}
 
-bool ClusterView::apply(const Platform::Listing &listing)
+bool ClusterView::apply(const Store::Listing &listing)
 {
     bool changed = registry_.apply(listing);
-    for (const Platform::Object &object : listing.objects) {
+    for (const Store::Object &object : listing.objects) {
         if (object.key == Membership::ConfigurationKey)
             changed |= offerConfiguration(object.version, object.value);
     }
@@ -28,10 +28,10 @@
     return changed;
 }
 
-bool ClusterView::apply(const Platform::Changes &changes)
+bool ClusterView::apply(const Store::Changes &changes)
 {
     bool changed = false;
-    for (const Platform::Change &change : changes.changes) {
+    for (const Store::Change &change : changes.changes) {
         if (change.key == Membership::ConfigurationKey && change.value)
             changed |= offerConfiguration(change.version, *change.value);
         else
@@ -44,7 +44,7 @@
     return changed;
 }
 
-bool ClusterView::offerConfiguration(Platform::Version version, const std::string &value)
+bool ClusterView::offerConfiguration(Store::Version version, const std::string &value)
 {
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
@@ -86,7 +86,7 @@
 
 bool ClusterView::dropSupersededNotices()
 {
-    std::set<std::pair<Model::InstanceId, Platform::Version>> current;
+    std::set<std::pair<Model::InstanceId, Store::Version>> current;
     for (const Model::Instance &instance : registry_.instances())
         current.emplace(Model::instanceId(instance.name), registry_.versionOf(instance.name));
     return std::erase_if(notices_,
@@ -122,9 +122,9 @@
                                           ++tableVersion_);
 }
 
-Platform::Listing ClusterView::snapshot() const
+Store::Listing ClusterView::snapshot() const
 {
-    Platform::Listing listing;
+    Store::Listing listing;
     listing.revision = revision_;
     if (gate_.current().generation > Model::Generation{})
         listing.objects.push_back({std::string(Membership::ConfigurationKey), configurationVersion_,
@@ -136,10 +136,10 @@
     return listing;
 }
 
-std::string encodeListing(const Platform::Listing &listing)
+std::string encodeListing(const Store::Listing &listing)
 {
     nlohmann::json objects = nlohmann::json::array();
-    for (const Platform::Object &object : listing.objects) {
+    for (const Store::Object &object : listing.objects) {
         objects.push_back({{"key", object.key},
                            {"version", std::uint64_t(object.version)},
                            {"value", nlohmann::json::parse(object.value)}});
--- a/src/libs/control/clusterview.h
+++ b/src/libs/control/clusterview.h
@@ -2,7 +2,7 @@
 
 #include "configuration/generationgate.h"
 #include "membership/instanceregistry.h"
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 #include "routing/routingtable.h"
 #include "tunnel/datagram.h"
 
@@ -29,10 +29,10 @@
     ClusterView();
 
     /// Takes a whole listing of the platform or of a peer. Returns whether anything changed.
-    bool apply(const Platform::Listing &listing);
+    bool apply(const Store::Listing &listing);
 
     /// Takes changes that a watch reported. Returns whether anything changed.
-    bool apply(const Platform::Changes &changes);
+    bool apply(const Store::Changes &changes);
 
     /// Takes what an instance or its peers say of its state. It counts until the platform says
     /// something newer, and for NoticeLifetime at most. Returns whether anything changed.
@@ -49,7 +49,7 @@
 
     /// Returns what this process knows in the form of a listing, for peers that start during an
     /// outage of the platform.
-    Platform::Listing snapshot() const;
+    Store::Listing snapshot() const;
 
     /// Returns the configurations that were refused since the start.
     std::size_t refusedConfigurations() const { return refusedConfigurations_; }
@@ -59,26 +59,26 @@
     {
         Model::Incarnation incarnation{};
         Model::InstanceState state{};
-        Platform::Version version{}; ///< of the announcement that the notice is newer than
+        Store::Version version{}; ///< of the announcement that the notice is newer than
         TimePoint since;
     };
 
     bool dropSupersededNotices();
     std::vector<Model::Instance> instancesWithNotices() const;
-    bool offerConfiguration(Platform::Version version, const std::string &value);
+    bool offerConfiguration(Store::Version version, const std::string &value);
     void rebuild();
 
     Configuration::GenerationGate gate_;
     Membership::InstanceRegistry registry_;
     std::map<Model::InstanceId, Notice> notices_;
     std::shared_ptr<const Routing::RoutingTable> table_;
-    Platform::Version configurationVersion_{};
-    Platform::Revision revision_{};
+    Store::Version configurationVersion_{};
+    Store::Revision revision_{};
     std::uint64_t tableVersion_ = 0;
     std::size_t refusedConfigurations_ = 0;
 };
 
 /// Writes \a listing as JSON in the form of the platform's own listings. Thread-safe.
-std::string encodeListing(const Platform::Listing &listing);
+std::string encodeListing(const Store::Listing &listing);
 
 } // namespace Control
--- a/src/libs/control/platformwriter.cpp
+++ b/src/libs/control/platformwriter.cpp
@@ -2,7 +2,7 @@
 
 #include "membership/announcement.h"
 #include "observability/log.h"
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <algorithm>
 
@@ -10,8 +10,8 @@
 
 using Observability::Level;
 using Observability::log;
-using Platform::attempt;
-using Platform::FailureKind;
+using Store::attempt;
+using Store::FailureKind;
 
 static constexpr std::chrono::milliseconds CallTimeout{1500};
 static constexpr std::chrono::seconds LongestRest{60};
@@ -71,7 +71,7 @@
         const std::lock_guard guard(mutex_);
         const std::string &name = keeper_.wanted().name;
         const auto version = view.registry().versionOf(name);
-        if (version == Platform::Version{})
+        if (version == Store::Version{})
             return;
         keeper_.onSeen(version, view.registry().find(name));
     }
@@ -126,7 +126,7 @@
     if (std::holds_alternative<ReadAnnouncement>(step)) {
         const auto read = attempt([&] { return client_.read(key); });
         const std::lock_guard guard(mutex_);
-        if (const auto *object = std::get_if<Platform::Object>(&read))
+        if (const auto *object = std::get_if<Store::Object>(&read))
             keeper_.onSeen(object->version, Membership::decodeAnnouncement(object->value));
         else
             keeper_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(read));
@@ -141,7 +141,7 @@
                              write->precondition);
     });
     const std::lock_guard guard(mutex_);
-    if (const auto *version = std::get_if<Platform::Version>(&written))
+    if (const auto *version = std::get_if<Store::Version>(&written))
         keeper_.onWritten(*version, write ? std::optional(write->instance) : std::nullopt);
     else
         keeper_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(written));
@@ -151,7 +151,7 @@
 {
     const std::string key = Membership::instanceKey(suspicion.name);
     const auto read = attempt([&] { return client_.read(key); });
-    const auto *const object = std::get_if<Platform::Object>(&read);
+    const auto *const object = std::get_if<Store::Object>(&read);
     if (!object)
         return;
     auto instance = Membership::decodeAnnouncement(object->value);
@@ -165,11 +165,11 @@
         if (suspicion.forgets)
             return client_.remove(key, object->version);
         return client_.write(key, Membership::encodeAnnouncement(*instance),
-                             Platform::IfVersion{object->version});
+                             Store::IfVersion{object->version});
     });
     log(Level::Warning, suspicion.forgets ? "peer-forgotten" : "peer-suspect",
         {{"instance", suspicion.name},
-         {"written", std::holds_alternative<Platform::Version>(written)}});
+         {"written", std::holds_alternative<Store::Version>(written)}});
 }
 
 void PlatformWriter::notice()
--- a/src/libs/control/platformwriter.h
+++ b/src/libs/control/platformwriter.h
@@ -2,7 +2,7 @@
 
 #include "control/announcementkeeper.h"
 #include "control/clusterview.h"
-#include "platform/httpobjectclient.h"
+#include "store/httpobjectclient.h"
 
 #include <condition_variable>
 #include <deque>
@@ -59,7 +59,7 @@
     void writeSuspicion(const Suspicion &suspicion);
     void notice();
 
-    Platform::HttpObjectClient client_;
+    Store::HttpObjectClient client_;
     Noticed noticed_;
 
     std::mutex mutex_; ///< guards what follows
--- a/src/libs/control/watcher.cpp
+++ b/src/libs/control/watcher.cpp
@@ -1,7 +1,7 @@
 #include "control/watcher.h"
 
 #include "observability/log.h"
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <algorithm>
 
@@ -9,7 +9,7 @@
 
 using Observability::Level;
 using Observability::log;
-using Platform::attempt;
+using Store::attempt;
 
 static constexpr std::chrono::milliseconds CallTimeout{2000};
 static constexpr std::chrono::milliseconds NoticeCheckInterval{1000};
@@ -39,7 +39,7 @@
     noticeThread_.join();
 }
 
-Platform::Listing Watcher::snapshot() const
+Store::Listing Watcher::snapshot() const
 {
     const std::lock_guard guard(mutex_);
     return view_.snapshot();
@@ -123,28 +123,28 @@
 void Watcher::list()
 {
     const auto listing = attempt([this] { return client_.list(""); });
-    if (const auto *failure = std::get_if<Platform::FailureKind>(&listing))
+    if (const auto *failure = std::get_if<Store::FailureKind>(&listing))
         return fail(*failure);
-    const auto &content = std::get<Platform::Listing>(listing);
+    const auto &content = std::get<Store::Listing>(listing);
     apply(content);
     policy_.onListed(content.revision);
 }
 
-void Watcher::watch(Platform::Revision after)
+void Watcher::watch(Store::Revision after)
 {
     const auto changes = attempt([&] { return client_.watch("", after, WatchWait); });
-    if (const auto *failure = std::get_if<Platform::FailureKind>(&changes))
+    if (const auto *failure = std::get_if<Store::FailureKind>(&changes))
         return fail(*failure);
-    const auto &content = std::get<Platform::Changes>(changes);
+    const auto &content = std::get<Store::Changes>(changes);
     apply(content);
     policy_.onWatched(content.revision);
 }
 
 void Watcher::askPeer(std::size_t index)
 {
-    Platform::HttpObjectClient peer(peers_[index], CallTimeout);
+    Store::HttpObjectClient peer(peers_[index], CallTimeout);
     const auto listing = attempt([&] { return peer.list("", "/snapshot"); });
-    if (const auto *content = std::get_if<Platform::Listing>(&listing))
+    if (const auto *content = std::get_if<Store::Listing>(&listing))
         apply(*content);
 }
 
@@ -155,9 +155,9 @@
     hurried_ = false;
 }
 
-void Watcher::fail(Platform::FailureKind kind)
+void Watcher::fail(Store::FailureKind kind)
 {
-    log(Level::Warning, "platform-call-failed", {{"kind", Platform::failureText(kind)}});
+    log(Level::Warning, "platform-call-failed", {{"kind", Store::failureText(kind)}});
     policy_.onFailed(kind);
 }
 
--- a/src/libs/control/watcher.h
+++ b/src/libs/control/watcher.h
@@ -2,7 +2,7 @@
 
 #include "control/clusterview.h"
 #include "control/watchpolicy.h"
-#include "platform/httpobjectclient.h"
+#include "store/httpobjectclient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -32,7 +32,7 @@
     Watcher &operator=(const Watcher &) = delete;
 
     /// Returns the view's snapshot. Thread-safe.
-    Platform::Listing snapshot() const;
+    Store::Listing snapshot() const;
 
     /// Returns the table. Thread-safe.
     std::shared_ptr<const Routing::RoutingTable> table() const;
@@ -54,10 +54,10 @@
     void run();
     void applyNotices();
     void list();
-    void watch(Platform::Revision after);
+    void watch(Store::Revision after);
     void askPeer(std::size_t index);
     void pause(std::chrono::milliseconds wait);
-    void fail(Platform::FailureKind kind);
+    void fail(Store::FailureKind kind);
     void noteAnswer();
 
     template<typename Update>
@@ -65,7 +65,7 @@
 
     std::vector<Model::Endpoint> peers_;
     Changed changed_;
-    Platform::HttpObjectClient client_;
+    Store::HttpObjectClient client_;
     WatchPolicy policy_;
 
     mutable std::mutex mutex_; ///< guards view_ and the pause
--- a/src/libs/control/watchpolicy.cpp
+++ b/src/libs/control/watchpolicy.cpp
@@ -27,7 +27,7 @@
     return ListPlatform{};
 }
 
-void WatchPolicy::onListed(Platform::Revision revision)
+void WatchPolicy::onListed(Store::Revision revision)
 {
     revision_ = revision;
     hasListed_ = true;
@@ -35,7 +35,7 @@
     backoff_.onSuccess();
 }
 
-void WatchPolicy::onWatched(Platform::Revision revision)
+void WatchPolicy::onWatched(Store::Revision revision)
 {
     // A platform that answers with an older revision lost its place; only a listing tells.
     if (revision < revision_) {
@@ -47,10 +47,10 @@
     backoff_.onSuccess();
 }
 
-void WatchPolicy::onFailed(Platform::FailureKind kind)
+void WatchPolicy::onFailed(Store::FailureKind kind)
 {
     pause_ = backoff_.onFailure();
-    const bool mayWatchOn = hasListed_ && kind != Platform::FailureKind::TooOld;
+    const bool mayWatchOn = hasListed_ && kind != Store::FailureKind::TooOld;
     afterPause_ = mayWatchOn ? State::Watching : State::Listing;
     state_ = peerCount_ > 0 ? State::AskingPeer : State::Pausing;
 }
--- a/src/libs/control/watchpolicy.h
+++ b/src/libs/control/watchpolicy.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/backoff.h"
-#include "platform/objectclient.h"
+#include "store/backoff.h"
+#include "store/objectclient.h"
 
 #include <chrono>
 #include <cstddef>
@@ -23,7 +23,7 @@
 /// Watch the platform for changes after \c after.
 struct WatchPlatform
 {
-    Platform::Revision after;
+    Store::Revision after;
 };
 
 /// Ask the peer with this index for its snapshot.
@@ -52,13 +52,13 @@
     WatchStep next();
 
     /// Notes that a listing of the platform arrived.
-    void onListed(Platform::Revision revision);
+    void onListed(Store::Revision revision);
 
     /// Notes that a watch ended, with or without changes.
-    void onWatched(Platform::Revision revision);
+    void onWatched(Store::Revision revision);
 
     /// Notes that a call of the platform failed.
-    void onFailed(Platform::FailureKind kind);
+    void onFailed(Store::FailureKind kind);
 
     /// Whether the last call of the platform succeeded.
     bool isInStep() const { return state_ == State::Watching; }
@@ -66,10 +66,10 @@
 private:
     enum class State { Listing, Watching, AskingPeer, Pausing };
 
-    Platform::Backoff backoff_;
+    Store::Backoff backoff_;
     State state_ = State::Listing;
     State afterPause_ = State::Listing;
-    Platform::Revision revision_{};
+    Store::Revision revision_{};
     bool hasListed_ = false;
     std::size_t peerCount_;
     std::size_t nextPeer_;
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -34,7 +34,8 @@
 {
     if (std::size_t(header.position) + 1 >= header.chain.size())
         return drop(endCause);
-    if (header.passes >= MaxPasses)
+    // A search over the whole service passes more often; its chains are continued by rank.
+    if (header.passes >= (header.ranksBefore == 0 ? MaxPasses : MaxSearchPasses))
         return drop(DropCause::TooManyPasses);
     ++header.position;
     ++header.passes;
@@ -126,9 +127,66 @@
         known->second.lastUse = now;
         return passToOwner(header, known->second);
     }
+    if (mayHoldUnknownFlows_)
+        return {Deliver{}, std::nullopt, false};
     return passToNext(header, DropCause::NoOwner);
 }
 
+Decision FlowDirector::onUnknownToBackend(TimePoint now, const Tunnel::PacketHeader &header,
+                                          const Tunnel::TcpPacket &packet)
+{
+    onGone(packet.flow);
+    if (packet.opensFlow())
+        return passToNext(header, DropCause::NoRoom);
+    const auto known = redirects_.find(packet.flow);
+    if (known != redirects_.end() && header.redirects < MaxRedirects) {
+        known->second.lastUse = now;
+        return passToOwner(header, known->second);
+    }
+    return passToNext(header, DropCause::NoOwner);
+}
+
+bool FlowDirector::onHeldByBackend(TimePoint now, const Model::FlowKey &flow)
+{
+    const auto entry = flows_.find(flow);
+    if (entry != flows_.end()) {
+        entry->second.lastUse = now;
+        return false;
+    }
+    adopt(now, flow, Tunnel::Epoch(1));
+    return true;
+}
+
+std::vector<Model::FlowKey> FlowDirector::forgetIdle(TimePoint limit)
+{
+    std::vector<Model::FlowKey> forgotten;
+    for (const auto &[key, flow] : flows_) {
+        if (flow.phase == Phase::Established && flow.lastUse < limit)
+            forgotten.push_back(key);
+    }
+    for (const Model::FlowKey &key : forgotten)
+        onGone(key);
+    return forgotten;
+}
+
+std::optional<Tunnel::PacketHeader> continueSearch(const Routing::ServiceTable &table,
+                                                   const Tunnel::PacketHeader &header,
+                                                   const Model::FlowKey &flow)
+{
+    if (header.passes >= MaxSearchPasses)
+        return std::nullopt;
+    const auto [chain, next] =
+        table.chainAfter(Model::flowHash(flow), header.chain, header.ranksBefore);
+    if (chain.isEmpty())
+        return std::nullopt;
+    Tunnel::PacketHeader onward = header;
+    onward.chain = chain;
+    onward.position = 0;
+    onward.ranksBefore = std::uint8_t(std::min<std::size_t>(next, MaxSearchPasses));
+    ++onward.passes;
+    return onward;
+}
+
 std::optional<Decision> FlowDirector::onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
                                                   const Tunnel::TcpPacket &packet)
 {
@@ -136,6 +194,7 @@
     if (entry == flows_.end())
         return std::nullopt;
     Flow &flow = entry->second;
+    flow.lastUse = now;
     switch (flow.phase) {
     case Phase::Established:
         return Decision{Deliver{}, noticeFor(now, header, packet.flow, flow), false};
@@ -187,6 +246,7 @@
     }
     Flow flow;
     flow.since = now;
+    flow.lastUse = now;
     flows_[packet.flow] = flow;
     ++openCount_;
     return {Deliver{}, std::nullopt, forgetsEarlierFlow};
@@ -299,6 +359,7 @@
     adopted.phase = Phase::Established;
     adopted.epoch = epoch;
     adopted.since = now;
+    adopted.lastUse = now;
     flows_[flow] = adopted;
     ++openCount_;
 }
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -31,6 +31,9 @@
 /// How often agents may pass a packet on before it counts as going in circles.
 constexpr std::uint8_t MaxPasses = 8;
 
+/// Bound of the same for a search over a whole service, with a margin over its largest size.
+constexpr std::uint8_t MaxSearchPasses = 200;
+
 /// How often a packet may follow a redirect; after that it only walks its chain, since two agents
 /// may hold each other for the owner.
 constexpr std::uint8_t MaxRedirects = 3;
@@ -113,6 +116,22 @@
     void onRedirects(TimePoint now, const Routing::Hop &owner,
                      const std::vector<Tunnel::ClaimedFlow> &flows);
 
+    /// Says that the backend server may hold flows that this agent knows nothing of, since it
+    /// started after them. Such packets are delivered, and come back by onUnknownToBackend().
+    void setMayHoldUnknownFlows(bool mayHold) { mayHoldUnknownFlows_ = mayHold; }
+
+    /// Decides on \a packet that the backend server returned, since it holds no such flow or can't
+    /// accept it. \a header is what the packet arrived under.
+    Decision onUnknownToBackend(TimePoint now, const Tunnel::PacketHeader &header,
+                                const Tunnel::TcpPacket &packet);
+
+    /// Notes that the backend server sent a packet of \a flow, which shows that it holds it.
+    /// Returns whether the flow was not known here.
+    bool onHeldByBackend(TimePoint now, const Model::FlowKey &flow);
+
+    /// Forgets established flows without a packet since \a limit; returns them.
+    std::vector<Model::FlowKey> forgetIdle(TimePoint limit);
+
     /// Notes which instances \a table says are alive.
     void onTable(const Routing::ServiceTable &table);
 
@@ -158,6 +177,7 @@
         std::uint32_t endSequence = 0; ///< in Phase::Closed
         std::optional<std::uint32_t> initialSequence;
         TimePoint since;
+        TimePoint lastUse;
         TimePoint lastNotice;
     };
 
@@ -189,6 +209,13 @@
     std::unordered_map<Model::FlowKey, Redirect> redirects_;
     std::unordered_map<Model::InstanceId, Model::Incarnation> alive_;
     std::size_t openCount_ = 0;
+    bool mayHoldUnknownFlows_ = false;
 };
 
+/// Extends a search that ended with its chain to the instances of \a table that were not asked.
+/// Returns nothing when all were asked, or the packet was passed on as often as is allowed.
+std::optional<Tunnel::PacketHeader> continueSearch(const Routing::ServiceTable &table,
+                                                   const Tunnel::PacketHeader &header,
+                                                   const Model::FlowKey &flow);
+
 } // namespace Flows
--- /dev/null
+++ b/src/libs/forwarding/agentcore.cpp
@@ -0,0 +1,373 @@
+#include "forwarding/agentcore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Forwarding {
+
+/// Deliveries that may be on their way to a backend server and back: 4096 packets of 1.2 KB are
+/// more than its link holds in a round trip.
+static constexpr std::size_t RememberedDeliveries = 4096;
+
+/// Time without an answer to a SYN after which no further one is delivered. Backend servers answer
+/// in under a millisecond; the rest covers a processor shared by others.
+static constexpr std::chrono::milliseconds SynSilence{100};
+
+/// Time without any sign of the backend server after which it gets no new flow: three beats.
+static constexpr std::chrono::milliseconds BackendSilence{4000};
+
+/// How often all flows are claimed again, since claims may be lost.
+static constexpr std::chrono::seconds FullClaimInterval{10};
+
+/// Least time between two notices about one flow to the balancers that miss its owner.
+static constexpr std::chrono::milliseconds OriginNoticeInterval{100};
+
+/// How often ended and idle flows are searched for.
+static constexpr std::chrono::seconds SweepInterval{1};
+
+/// How long a flow without a packet is remembered; longer than any idle timeout of the deployments.
+static constexpr std::chrono::seconds IdleLimit{60};
+
+/// Time after the start in which the roster may still miss an owner, so that no caller is told that
+/// its flow is gone: seeds are asked several times in it.
+static constexpr std::chrono::seconds SettlingTime{2};
+
+/// Flows that one backend server may hold, as the services' connections are bounded.
+static constexpr std::size_t MaxOpenFlows = 2000;
+
+/// Waiting requests per slot up to which an agent takes a new flow itself instead of offering it
+/// to the next of its chain: one running and one queued behind it.
+static constexpr std::uint32_t WaitingPerSlot = 2;
+
+const char *beatOutcomeText(BeatOutcome outcome)
+{
+    switch (outcome) {
+    case BeatOutcome::Taken:
+        return "taken";
+    case BeatOutcome::Overtaken:
+        return "overtaken";
+    case BeatOutcome::OtherPlace:
+        return "other-place";
+    }
+    return "unknown";
+}
+
+AgentCore::AgentCore(TimePoint now, Options options)
+    : options_(std::move(options))
+    , service_(Model::serviceId(options_.self.instance.service))
+    , selfHop_{Model::instanceId(options_.self.instance.name), {}, options_.self.instance.tunnel}
+    , roster_(options_.self)
+    , pacer_(options_.self.instance.failureDomain)
+    , director_(selfHop_, service_)
+    , marks_(RememberedDeliveries)
+    , started_(now)
+    , lastBackendSign_(now)
+    , lastFullClaims_(now)
+    , lastSweep_(now)
+{
+    director_.setMayHoldUnknownFlows(!options_.isFirstStart);
+    rebuild();
+}
+
+bool AgentCore::isAccepting(TimePoint now) const
+{
+    const bool isSilent = now - lastBackendSign_ >= BackendSilence
+                          || (unansweredSyn_ && now - *unansweredSyn_ >= SynSilence);
+    return backend_ && !backend_->isDraining && !hasLeft_ && !isSilent;
+}
+
+Flows::Room AgentCore::room(TimePoint now)
+{
+    const std::uint32_t slots = backend_ ? std::max(1u, backend_->slots) : 1;
+    return {isAccepting(now), meter_.waiting(now) < WaitingPerSlot * slots,
+            director_.openCount() < MaxOpenFlows};
+}
+
+AgentVerdict AgentCore::onCallerPacket(TimePoint now, Model::ServiceId service,
+                                       const Tunnel::PacketHeader &header,
+                                       const Tunnel::TcpPacket &packet)
+{
+    const bool wasOwned = director_.owns(packet.flow);
+    const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now));
+    if (!wasOwned && director_.owns(packet.flow))
+        claimAtRegistrar(packet.flow);
+    return act(now, decision, header, packet);
+}
+
+AgentVerdict AgentCore::act(TimePoint now, const Flows::Decision &decision,
+                            const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet)
+{
+    if (decision.notice)
+        claims_[decision.notice->receiver.tunnel].push_back(decision.notice->flow);
+    if (std::holds_alternative<Flows::Deliver>(decision.verdict))
+        return deliver(now, header, packet);
+    if (const auto *passOn = std::get_if<Flows::PassOn>(&decision.verdict)) {
+        const Routing::Hop &next = passOn->header.chain[passOn->header.position];
+        return SendOn{{service_, {}, passOn->header}, next.tunnel};
+    }
+    const auto cause = std::get<Flows::Drop>(decision.verdict).cause;
+    return cause == Flows::DropCause::NoOwner ? searchOn(header, packet) : AgentVerdict(cause);
+}
+
+AgentVerdict AgentCore::searchOn(const Tunnel::PacketHeader &header,
+                                 const Tunnel::TcpPacket &packet)
+{
+    if (const auto onward = Flows::continueSearch(*table_, header, packet.flow))
+        return SendOn{{service_, {}, *onward}, onward->chain[0].tunnel};
+    return Flows::DropCause::NoOwner;
+}
+
+AgentVerdict AgentCore::deliver(TimePoint now, const Tunnel::PacketHeader &header,
+                                const Tunnel::TcpPacket &packet)
+{
+    if (packet.opensFlow()) {
+        meter_.onOpening(now, packet.flow);
+        if (!unansweredSyn_)
+            unansweredSyn_ = now;
+    } else if (packet.payloadBytes > 0) {
+        meter_.onRequestBytes(now, packet.flow);
+    }
+    if (director_.owns(packet.flow)) {
+        FlowTrack &track = tracks_[packet.flow];
+        track.acknowledgement = packet.acknowledgement;
+        track.callerEnded |= packet.fin || packet.rst;
+        const bool wasSearched = header.passes > 0 && header.origin.isValid();
+        if (wasSearched && now - track.lastOriginNotice >= OriginNoticeInterval) {
+            track.lastOriginNotice = now;
+            claims_[header.origin].push_back({packet.flow, Tunnel::Epoch(1)});
+        }
+    }
+    if (packet.fin || packet.rst)
+        meter_.onGone(packet.flow);
+    return DeliverToBackend{marks_.add(header)};
+}
+
+AgentVerdict AgentCore::onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet)
+{
+    lastBackendSign_ = now;
+    unansweredSyn_.reset();
+    if (packet.syn) {
+        director_.onSynAnswered(packet.flow, packet.sequence);
+        return SendToCaller{packet.flow.caller};
+    }
+    if (packet.payloadBytes > 0) {
+        if (director_.onHeldByBackend(now, packet.flow))
+            claimAtRegistrar(packet.flow);
+        meter_.onAnswerBytes(now, packet.flow);
+    }
+    if (packet.fin || packet.rst) {
+        meter_.onGone(packet.flow);
+        if (const auto track = tracks_.find(packet.flow); track != tracks_.end()) {
+            track->second.backendEnded = true;
+            track->second.callerEnded |= packet.rst;
+        }
+    }
+    return SendToCaller{packet.flow.caller};
+}
+
+AgentVerdict AgentCore::onReturnedPacket(TimePoint now, const Tunnel::TcpPacket &packet,
+                                         DeliveryMark mark)
+{
+    lastBackendSign_ = now;
+    unansweredSyn_.reset();
+    forgetFlow(packet.flow);
+    const auto known = marks_.find(mark);
+    Tunnel::PacketHeader header;
+    if (known) {
+        header = *known;
+    } else {
+        const auto kind = packet.opensFlow() ? Routing::PacketKind::OpensFlow
+                                             : Routing::PacketKind::OfFlow;
+        header.chain = table_->chainFor(Model::flowHash(packet.flow), kind);
+        header.opensFlow = packet.opensFlow();
+        if (header.chain.isEmpty())
+            return Flows::DropCause::NoOwner;
+    }
+    return act(now, director_.onUnknownToBackend(now, header, packet), header, packet);
+}
+
+BeatOutcome AgentCore::onBeat(TimePoint now, const BackendBeat &beat)
+{
+    if (Model::serviceId(beat.service) != service_ || beat.address != options_.backend)
+        return BeatOutcome::OtherPlace;
+    if (backend_) {
+        const bool isSameStart = beat.id == backend_->id && beat.bornMs == backend_->bornMs;
+        const bool isOvertaken = isSameStart ? beat.sequence <= backend_->sequence
+                                             : beat.bornMs <= backend_->bornMs;
+        if (isOvertaken)
+            return BeatOutcome::Overtaken;
+        if (!isSameStart) {
+            endAllFlows();
+            director_.setMayHoldUnknownFlows(false);
+            hasLeft_ = false;
+        }
+    }
+    const bool wasAccepting = isAccepting(now);
+    backend_ = beat;
+    lastBackendSign_ = now;
+    unansweredSyn_.reset();
+    if (isAccepting(now) != wasAccepting)
+        pacer_.onUrgentChange();
+    return BeatOutcome::Taken;
+}
+
+void AgentCore::onLeave(TimePoint, const std::string &id)
+{
+    if (!backend_ || backend_->id != id)
+        return;
+    hasLeft_ = true;
+    pacer_.onUrgentChange();
+}
+
+void AgentCore::endAllFlows()
+{
+    for (const Model::FlowKey &flow : director_.ownedFlows()) {
+        if (const auto track = tracks_.find(flow); track != tracks_.end())
+            resets_.push_back({flow, track->second.acknowledgement});
+        director_.onGone(flow);
+    }
+    tracks_.clear();
+    meter_.clear();
+}
+
+std::vector<ResetFlow> AgentCore::takeResets()
+{
+    return std::exchange(resets_, {});
+}
+
+void AgentCore::forgetFlow(const Model::FlowKey &flow)
+{
+    tracks_.erase(flow);
+    meter_.onGone(flow);
+    director_.onGone(flow);
+}
+
+void AgentCore::claimAtRegistrar(const Model::FlowKey &flow)
+{
+    const auto chain = table_->chainFor(Model::flowHash(flow), Routing::PacketKind::OfFlow);
+    if (!chain.isEmpty() && chain[0].instance != selfHop_.instance)
+        claims_[chain[0].tunnel].push_back({flow, Tunnel::Epoch(1)});
+}
+
+void AgentCore::onDatagram(TimePoint now, const Tunnel::Datagram &datagram)
+{
+    if (const auto *part = std::get_if<Tunnel::RosterPart>(&datagram.content)) {
+        if (roster_.onPart(now, *part))
+            rebuild();
+    } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
+        if (datagram.service == service_)
+            director_.onRedirects(now, redirects->owner, redirects->flows);
+    }
+}
+
+void AgentCore::rebuild()
+{
+    Model::Service service;
+    service.name = options_.self.instance.service;
+    std::vector<Model::Instance> instances{options_.self.instance};
+    for (Model::Instance &agent : roster_.agents()) {
+        if (agent.service == service.name)
+            instances.push_back(std::move(agent));
+    }
+    // A restart of an agent leaves the flows of its backend server where they are.
+    for (Model::Instance &instance : instances)
+        instance.incarnation = {};
+    if (table_)
+        table_ = std::make_unique<Routing::ServiceTable>(*table_, std::move(instances));
+    else
+        table_ = std::make_unique<Routing::ServiceTable>(service, std::move(instances));
+    director_.onTable(*table_);
+    for (auto &[receiver, flows] : director_.ownershipNotices(*table_)) {
+        auto &claims = claims_[receiver.tunnel];
+        claims.insert(claims.end(), flows.begin(), flows.end());
+    }
+}
+
+Tunnel::Report AgentCore::report(TimePoint now)
+{
+    Tunnel::Report report;
+    report.sender = options_.self;
+    report.sender.instance.state =
+        isAccepting(now) ? Model::InstanceState::Ready : Model::InstanceState::Draining;
+    report.number = reportNumber_;
+    report.waiting = meter_.waiting(now);
+    report.open = std::uint32_t(director_.openCount());
+    report.slots = backend_ ? backend_->slots : 0;
+    report.answerTime = meter_.answerTime(now);
+    report.rosterDigest = roster_.digest();
+    return report;
+}
+
+std::vector<Outgoing> AgentCore::tick(TimePoint now)
+{
+    if (now - lastSweep_ >= SweepInterval) {
+        lastSweep_ = now;
+        director_.expire(now);
+        for (const Model::FlowKey &flow : director_.forgetIdle(now - IdleLimit))
+            forgetFlow(flow);
+        std::vector<Model::FlowKey> ended;
+        for (const auto &[flow, track] : tracks_) {
+            if (track.callerEnded && track.backendEnded)
+                ended.push_back(flow);
+        }
+        for (const Model::FlowKey &flow : ended)
+            forgetFlow(flow);
+        if (options_.longestFlow.count() > 0 && now - started_ >= options_.longestFlow)
+            director_.setMayHoldUnknownFlows(false);
+    }
+    if (now - lastFullClaims_ >= FullClaimInterval) {
+        lastFullClaims_ = now;
+        for (auto &[receiver, flows] : director_.ownershipNotices(*table_)) {
+            auto &claims = claims_[receiver.tunnel];
+            claims.insert(claims.end(), flows.begin(), flows.end());
+        }
+    }
+
+    std::vector<Outgoing> outgoing;
+    for (auto &[receiver, flows] : claims_) {
+        for (std::size_t first = 0; first < flows.size(); first += Tunnel::MaxFlowsPerRedirects) {
+            const auto count = std::min(Tunnel::MaxFlowsPerRedirects, flows.size() - first);
+            const auto begin = flows.begin() + std::ptrdiff_t(first);
+            Tunnel::Redirects redirects{selfHop_, {begin, begin + std::ptrdiff_t(count)}};
+            outgoing.push_back({receiver, {service_, {}, std::move(redirects)}});
+        }
+    }
+    claims_.clear();
+
+    if (const auto waiting = meter_.waiting(now); waiting != reportedWaiting_) {
+        reportedWaiting_ = waiting;
+        pacer_.onChange();
+    }
+    const auto receivers = pacer_.due(now, roster_);
+    if (receivers.empty())
+        return outgoing;
+    ++reportNumber_;
+    const Tunnel::Report own = report(now);
+    for (const auto &[tunnel, isAskedForRoster] : receivers) {
+        Tunnel::Report addressed = own;
+        addressed.wantsRoster = isAskedForRoster;
+        outgoing.push_back({tunnel, {service_, {}, std::move(addressed)}});
+    }
+    return outgoing;
+}
+
+std::vector<Outgoing> AgentCore::farewell(TimePoint now)
+{
+    std::vector<Outgoing> outgoing;
+    ++reportNumber_;
+    for (const Model::Instance &balancer : roster_.balancers()) {
+        Tunnel::Report last = report(now);
+        last.sender.instance.state = Model::InstanceState::Suspect;
+        last.leaves = hasLeft_;
+        outgoing.push_back({balancer.tunnel, {service_, {}, std::move(last)}});
+    }
+    return outgoing;
+}
+
+AgentStatus AgentCore::status(TimePoint now)
+{
+    return {isAccepting(now), meter_.waiting(now), director_.openCount(),
+            director_.redirectCount(), meter_.answerTime(now)};
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/agentcore.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "flows/flowdirector.h"
+#include "forwarding/balancercore.h"
+#include "forwarding/controlpacer.h"
+#include "forwarding/deliverymarks.h"
+#include "membership/roster.h"
+#include "placement/loadmeter.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Forwarding {
+
+/// What a backend server says of itself, decoded.
+struct BackendBeat
+{
+    std::string id;
+    std::string service;
+    std::string failureDomain;
+    Model::Endpoint address;
+    std::uint32_t slots = 0;
+    bool isDraining = false;
+    std::chrono::milliseconds coldFor{0}; ///< how much longer it stays slow after its start
+    std::int64_t bornMs = 0;              ///< Unix time of its start; greater in a later one
+    std::uint64_t sequence = 0;           ///< grows with each beat of one start
+};
+
+/// How a beat was taken.
+enum class BeatOutcome {
+    Taken,      ///< the agent holds what the beat says
+    Overtaken,  ///< a later beat, or a later start, is known
+    OtherPlace, ///< the beat is of a service or an address that is not beside this agent
+};
+
+/// Returns the name of \a outcome in logs. Thread-safe.
+const char *beatOutcomeText(BeatOutcome outcome);
+
+/// Hand the packet to the backend server, marked with \c mark.
+struct DeliverToBackend
+{
+    DeliveryMark mark{};
+};
+
+/// Send the packet to its caller.
+struct SendToCaller
+{
+    Model::Endpoint caller;
+};
+
+using AgentVerdict =
+    std::variant<DeliverToBackend, SendToCaller, SendOn, ResetFlow, Flows::DropCause>;
+
+/// How an agent stands to its backend server.
+struct AgentStatus
+{
+    bool isAccepting = false;
+    std::uint32_t waiting = 0;
+    std::size_t openFlows = 0;
+    std::size_t redirects = 0;
+    std::chrono::microseconds answerTime{0};
+};
+
+/// Decides on an agent that carries packets between balancers and one backend server.
+///
+/// Accepts new flows as the load of its backend server allows, and only after that server said that
+/// it is ready; knows the flows that the server holds, learns those opened before the agent's own
+/// start from the server's answers, and finds other owners. Without sockets, threads or clocks; not
+/// thread-safe.
+class AgentCore
+{
+public:
+    struct Options
+    {
+        Tunnel::Member self;
+        Model::Endpoint backend;
+        bool isFirstStart = false; ///< no backend server can hold flows from before
+        std::chrono::seconds longestFlow{0}; ///< flows from before this start last no longer
+    };
+
+    AgentCore(TimePoint now, Options options);
+
+    /// Decides on \a packet, which a balancer or an agent sent under \a header to \a service.
+    AgentVerdict onCallerPacket(TimePoint now, Model::ServiceId service,
+                                const Tunnel::PacketHeader &header,
+                                const Tunnel::TcpPacket &packet);
+
+    /// Decides on \a packet, which the backend server sent.
+    AgentVerdict onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet);
+
+    /// Decides on \a packet of a caller, which the backend server returned with \a mark.
+    AgentVerdict onReturnedPacket(TimePoint now, const Tunnel::TcpPacket &packet,
+                                  DeliveryMark mark);
+
+    /// Takes a beat of the backend server.
+    BeatOutcome onBeat(TimePoint now, const BackendBeat &beat);
+
+    /// Notes that the backend server called \a id leaves.
+    void onLeave(TimePoint now, const std::string &id);
+
+    /// Takes a control datagram of another process.
+    void onDatagram(TimePoint now, const Tunnel::Datagram &datagram);
+
+    /// Returns the control datagrams that are due now.
+    std::vector<Outgoing> tick(TimePoint now);
+
+    /// Returns flows of a backend server that ended, whose callers are to be told; empties the list.
+    std::vector<ResetFlow> takeResets();
+
+    /// Returns the reports of a process that ends.
+    std::vector<Outgoing> farewell(TimePoint now);
+
+    /// Sets where balancers run that may not be known yet.
+    void setSeeds(std::vector<Model::Endpoint> seeds) { pacer_.setSeeds(std::move(seeds)); }
+
+    AgentStatus status(TimePoint now);
+    const Membership::Roster &roster() const { return roster_; }
+
+private:
+    /// What the agent keeps of an open flow besides its owner.
+    struct FlowTrack
+    {
+        std::uint32_t acknowledgement = 0; ///< the caller's latest
+        TimePoint lastOriginNotice;
+        bool callerEnded = false;
+        bool backendEnded = false;
+    };
+
+    AgentVerdict act(TimePoint now, const Flows::Decision &decision,
+                     const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
+    AgentVerdict searchOn(const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
+    AgentVerdict deliver(TimePoint now, const Tunnel::PacketHeader &header,
+                         const Tunnel::TcpPacket &packet);
+    Flows::Room room(TimePoint now);
+    void claimAtRegistrar(const Model::FlowKey &flow);
+    void forgetFlow(const Model::FlowKey &flow);
+    void endAllFlows();
+    void rebuild();
+    bool isAccepting(TimePoint now) const;
+    Tunnel::Report report(TimePoint now);
+
+    Options options_;
+    Model::ServiceId service_;
+    Routing::Hop selfHop_;
+    Membership::Roster roster_;
+    ControlPacer pacer_;
+    Flows::FlowDirector director_;
+    Placement::LoadMeter meter_;
+    DeliveryMarks marks_;
+    std::unordered_map<Model::FlowKey, FlowTrack> tracks_;
+    std::unique_ptr<Routing::ServiceTable> table_;
+    std::optional<BackendBeat> backend_;
+    bool hasLeft_ = false;
+    TimePoint started_;
+    TimePoint lastBackendSign_;   ///< the latest packet or beat of the backend server
+    std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
+    std::map<Model::Endpoint, std::vector<Tunnel::ClaimedFlow>> claims_;
+    std::vector<ResetFlow> resets_;
+    TimePoint lastFullClaims_;
+    TimePoint lastSweep_;
+    std::uint64_t reportNumber_ = 0;
+    std::uint32_t reportedWaiting_ = 0;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/agenttraffic.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "forwarding/agentcore.h"
+#include "forwarding/decisionlog.h"
+#include "forwarding/packetcodec.h"
+#include "forwarding/trafficthread.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace Forwarding {
+
+/// Counts of one agent since its start.
+struct AgentCounters
+{
+    std::atomic<std::uint64_t> received = 0;
+    std::atomic<std::uint64_t> unreadable = 0;
+    std::atomic<std::uint64_t> delivered = 0;
+    std::atomic<std::uint64_t> answered = 0;
+    std::atomic<std::uint64_t> returned = 0;
+    std::atomic<std::uint64_t> passedOn = 0;
+    std::atomic<std::uint64_t> resets = 0;
+    std::array<std::atomic<std::uint64_t>, Flows::DropCauseCount> drops{};
+};
+
+/// Moves packets between balancers, a backend server and callers as an AgentCore decides. Public
+/// methods are thread-safe.
+template<PacketCodec Codec>
+class AgentTraffic
+{
+public:
+    struct Options
+    {
+        AgentCore::Options core;
+        Model::Endpoint outbound;     ///< where the backend server sends its packets
+        std::uint16_t callerPort = 0; ///< UDP port of all callers
+    };
+
+    /// Binds the sockets. Throws std::system_error if one can't be bound.
+    explicit AgentTraffic(const Options &options)
+        : outbound_(options.outbound)
+        , tunnel_(options.core.self.instance.tunnel)
+        , callerPort_(options.callerPort)
+        , backend_(options.core.backend)
+        , core_(std::chrono::steady_clock::now(), options.core)
+        , thread_(*this, tunnel_.descriptor(), outbound_.descriptor())
+    {}
+
+    /// Starts to move packets. Called once.
+    void start() { thread_.start(); }
+
+    /// Calls \a use with the core, and returns what it returns.
+    template<typename F>
+    auto with(F use)
+    {
+        const std::lock_guard guard(mutex_);
+        return use(core_);
+    }
+
+    /// Tells the others that this process ends, and stops.
+    void stop()
+    {
+        thread_.stop();
+        const std::lock_guard guard(mutex_);
+        sendControl(core_.farewell(std::chrono::steady_clock::now()));
+    }
+
+    const AgentCounters &counters() const { return counters_; }
+
+    /// Called on the traffic thread.
+    void onBatch(TimePoint now, std::size_t socket, Tunnel::ReceiveBatch &batch, std::size_t count)
+    {
+        const std::lock_guard guard(mutex_);
+        headerCount_ = 0;
+        counters_.received += count;
+        for (std::size_t index = 0; index < count; ++index) {
+            if (socket == 0)
+                takeFromPeers(now, batch.writable(index));
+            else
+                takeFromBackend(now, batch.writable(index));
+        }
+        toBackend_.flush(outbound_.descriptor());
+        toCallers_.flush(outbound_.descriptor());
+        toPeers_.flush(tunnel_.descriptor());
+    }
+
+    /// Called on the traffic thread.
+    void onTick(TimePoint now)
+    {
+        const std::lock_guard guard(mutex_);
+        sendControl(core_.tick(now));
+        sendResets();
+    }
+
+private:
+    void takeFromPeers(TimePoint now, std::span<std::byte> bytes)
+    {
+        const auto received = Tunnel::decodeDatagram(bytes);
+        if (!received) {
+            ++counters_.unreadable;
+            return;
+        }
+        const Tunnel::Datagram &datagram = received->datagram;
+        const auto *const header = std::get_if<Tunnel::PacketHeader>(&datagram.content);
+        if (!header) {
+            core_.onDatagram(now, datagram);
+            return;
+        }
+        const auto carried = bytes.last(received->packet.size());
+        const auto packet = Codec::parse(carried);
+        if (!packet) {
+            ++counters_.unreadable;
+            return;
+        }
+        const Tunnel::TcpPacket segment = callerSegment(*packet);
+        const auto verdict = core_.onCallerPacket(now, datagram.service, *header, segment);
+        logDecision(segment, *header, verdict);
+        act(segment, verdict, carried);
+    }
+
+    void takeFromBackend(TimePoint now, std::span<std::byte> bytes)
+    {
+        const auto packet = Codec::parse(bytes);
+        if (!packet) {
+            ++counters_.unreadable;
+            return;
+        }
+        if (!packet->isReturned) {
+            const Tunnel::TcpPacket segment = backendSegment(*packet);
+            act(segment, core_.onBackendPacket(now, segment), bytes);
+            return;
+        }
+        ++counters_.returned;
+        const Tunnel::TcpPacket segment = callerSegment(*packet);
+        const auto verdict = core_.onReturnedPacket(now, segment, packet->mark);
+        logReturned(segment, verdict);
+        Codec::clearReturned(bytes);
+        act(segment, verdict, bytes);
+    }
+
+    void act(const Tunnel::TcpPacket &segment, const AgentVerdict &verdict,
+             std::span<std::byte> bytes)
+    {
+        if (const auto *delivery = std::get_if<DeliverToBackend>(&verdict)) {
+            ++counters_.delivered;
+            Codec::setMark(bytes, delivery->mark);
+            toBackend_.add({}, bytes, backend_);
+        } else if (const auto *answer = std::get_if<SendToCaller>(&verdict)) {
+            ++counters_.answered;
+            toCallers_.add({}, bytes, {answer->caller.address, callerPort_});
+        } else if (const auto *sendOn = std::get_if<SendOn>(&verdict)) {
+            ++counters_.passedOn;
+            std::vector<std::byte> &header = headers_[headerCount_++];
+            Tunnel::encodeDatagram(sendOn->datagram, header);
+            toPeers_.add(header, bytes, sendOn->receiver);
+        } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
+            sendReset(*reset);
+        } else {
+            ++counters_.drops[std::size_t(std::get<Flows::DropCause>(verdict))];
+        }
+        static_cast<void>(segment);
+    }
+
+    void sendReset(const ResetFlow &reset)
+    {
+        ++counters_.resets;
+        Tunnel::sendDatagram(outbound_.descriptor(),
+                             Codec::reset(reset.flow, reset.acknowledgement), {},
+                             {reset.flow.caller.address, callerPort_});
+    }
+
+    void sendResets()
+    {
+        for (const ResetFlow &reset : core_.takeResets()) {
+            logReset(reset, "backend-ended");
+            sendReset(reset);
+        }
+    }
+
+    void sendControl(const std::vector<Outgoing> &outgoing)
+    {
+        for (const auto &[receiver, datagram] : outgoing) {
+            Tunnel::encodeDatagram(datagram, control_);
+            Tunnel::sendDatagram(tunnel_.descriptor(), control_, {}, receiver);
+        }
+    }
+
+    OwnedSocket outbound_;
+    OwnedSocket tunnel_;
+    std::uint16_t callerPort_;
+    Model::Endpoint backend_;
+    std::mutex mutex_; ///< guards core_ and the buffers
+    AgentCore core_;
+    AgentCounters counters_;
+    Tunnel::SendBatch toBackend_;
+    Tunnel::SendBatch toCallers_;
+    Tunnel::SendBatch toPeers_;
+    std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
+    std::size_t headerCount_ = 0;
+    std::vector<std::byte> control_;
+    TrafficThread<AgentTraffic> thread_;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/balancercore.cpp
@@ -0,0 +1,219 @@
+#include "forwarding/balancercore.h"
+
+#include <algorithm>
+
+namespace Forwarding {
+
+/// How long a flow without a packet is cached where the configuration sets no limit.
+static constexpr std::chrono::seconds DefaultIdleTimeout{60};
+
+/// How often the cache is searched for idle flows.
+static constexpr std::chrono::seconds SweepInterval{1};
+
+/// Time between two ticks beyond which this process itself stood still, and nobody else is to be
+/// blamed for silence: several times the interval at which the traffic thread ticks.
+static constexpr std::chrono::milliseconds OwnPause{400};
+
+const char *balancerDropText(BalancerDrop cause)
+{
+    switch (cause) {
+    case BalancerDrop::NotConfigured:
+        return "not-configured";
+    case BalancerDrop::UnknownRoute:
+        return "unknown-route";
+    case BalancerDrop::NoAgent:
+        return "no-agent";
+    }
+    return "unknown";
+}
+
+BalancerCore::BalancerCore(Tunnel::Member self)
+    : self_(self)
+    , roster_(self)
+    , board_(self.instance.failureDomain)
+    , pacer_(self.instance.failureDomain)
+    , table_(std::make_shared<Routing::RoutingTable>())
+{}
+
+void BalancerCore::setConfiguration(const Model::Configuration &configuration)
+{
+    for (const Model::Route &route : configuration_.routes)
+        formerRoutes_.insert(route.address);
+    configuration_ = configuration;
+    for (const Model::Route &route : configuration_.routes)
+        formerRoutes_.erase(route.address);
+    rebuild();
+    pacer_.onUrgentChange();
+}
+
+void BalancerCore::rebuild()
+{
+    auto agents = roster_.agents();
+    // A restart of an agent leaves the flows of its backend server where they are.
+    for (Model::Instance &agent : agents)
+        agent.incarnation = {};
+    board_.keepOnly(agents);
+    table_ = Routing::RoutingTable::build(configuration_, agents, *table_, ++tableVersion_);
+}
+
+std::optional<BalancerCore::NewerConfiguration> BalancerCore::newerConfiguration() const
+{
+    if (newest_.generation <= configuration_.generation)
+        return std::nullopt;
+    return newest_;
+}
+
+BalancerVerdict BalancerCore::send(Model::ServiceId service, const Routing::Chain &chain,
+                                   bool opensFlow)
+{
+    if (chain.isEmpty())
+        return BalancerDrop::NoAgent;
+    Tunnel::PacketHeader header;
+    header.chain = chain;
+    header.opensFlow = opensFlow;
+    header.origin = self_.instance.tunnel;
+    return SendOn{{service, configuration_.generation, header}, chain[0].tunnel};
+}
+
+BalancerVerdict BalancerCore::onCallerPacket(TimePoint now, const Tunnel::TcpPacket &packet)
+{
+    if (!isConfigured())
+        return BalancerDrop::NotConfigured;
+    return packet.opensFlow() ? onSyn(now, packet) : onFlowPacket(now, packet);
+}
+
+BalancerVerdict BalancerCore::onSyn(TimePoint now, const Tunnel::TcpPacket &packet)
+{
+    const auto *const service =
+        table_->pick(packet.flow.service, Model::flowHash(packet.flow));
+    if (!service) {
+        const bool wasDropped = formerRoutes_.contains(packet.flow.service);
+        if (wasDropped || packet.acknowledgement >= LastSynCopy)
+            return ResetFlow{packet.flow, 0};
+        return BalancerDrop::UnknownRoute;
+    }
+    std::vector<Model::InstanceId> tried;
+    const FlowCache::Entry *const known = cache_.find(now, packet.flow);
+    if (known && known->service == service->id()) {
+        for (const Routing::Hop &agent : known->agents)
+            tried.push_back(agent.instance);
+    }
+    const Routing::Chain chain = board_.order(now, *service, tried);
+    if (chain.isEmpty())
+        return BalancerDrop::NoAgent;
+    board_.onPlaced(now, chain[0].instance);
+    cache_.onOffered(now, packet.flow, service->id(), chain[0]);
+    return send(service->id(), chain, true);
+}
+
+/// Appends the hops of \a ranked to \a chain that it does not name.
+static void appendOthers(Routing::Chain &chain, const Routing::Chain &ranked)
+{
+    const Routing::Chain asked = chain;
+    for (const Routing::Hop &hop : ranked) {
+        bool isAsked = false;
+        for (const Routing::Hop &other : asked)
+            isAsked |= other.instance == hop.instance;
+        if (!isAsked && chain.size() < Routing::MaxChainLength)
+            chain.append(hop);
+    }
+}
+
+BalancerVerdict BalancerCore::onFlowPacket(TimePoint now, const Tunnel::TcpPacket &packet)
+{
+    const std::uint64_t hash = Model::flowHash(packet.flow);
+    const auto *service = table_->pick(packet.flow.service, hash);
+    if (!service) {
+        cache_.forget(packet.flow);
+        if (formerRoutes_.contains(packet.flow.service) && !packet.rst)
+            return ResetFlow{packet.flow, packet.acknowledgement};
+        return BalancerDrop::UnknownRoute;
+    }
+    Routing::Chain chain;
+    if (const FlowCache::Entry *const known = cache_.find(now, packet.flow)) {
+        chain = known->agents;
+        for (const auto *const table : table_->tablesAt(packet.flow.service)) {
+            if (table->id() == known->service)
+                service = table;
+        }
+        if (service->id() != known->service)
+            chain = {};
+    }
+    appendOthers(chain, service->chainFor(hash, Routing::PacketKind::OfFlow));
+    return send(service->id(), chain, false);
+}
+
+std::vector<Outgoing> BalancerCore::onDatagram(TimePoint now, const Tunnel::Datagram &datagram)
+{
+    std::vector<Outgoing> answers;
+    if (const auto *report = std::get_if<Tunnel::Report>(&datagram.content)) {
+        if (datagram.generation > std::max(newest_.generation, configuration_.generation))
+            newest_ = {datagram.generation, report->sender.instance.peer, now};
+        if (report->sender.role == Tunnel::Role::Agent)
+            board_.onReport(now, *report);
+        if (roster_.onReport(now, *report)) {
+            rebuild();
+            pacer_.onUrgentChange();
+        }
+        if (report->wantsRoster && report->rosterDigest != roster_.digestFor(report->sender)) {
+            for (Tunnel::RosterPart &part : roster_.partsFor(now, report->sender))
+                answers.push_back({report->sender.instance.tunnel,
+                                   {{}, configuration_.generation, std::move(part)}});
+        }
+    } else if (const auto *part = std::get_if<Tunnel::RosterPart>(&datagram.content)) {
+        if (roster_.onPart(now, *part))
+            rebuild();
+    } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
+        for (const Tunnel::ClaimedFlow &flow : redirects->flows)
+            cache_.onOwned(now, flow.key, datagram.service, redirects->owner);
+    }
+    return answers;
+}
+
+Tunnel::Report BalancerCore::report() const
+{
+    Tunnel::Report report;
+    report.sender = self_;
+    report.number = reportNumber_;
+    report.rosterDigest = roster_.digest();
+    return report;
+}
+
+std::vector<Outgoing> BalancerCore::tick(TimePoint now)
+{
+    if (lastTick_ != TimePoint() && now - lastTick_ > OwnPause)
+        roster_.onPaused(std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTick_));
+    lastTick_ = now;
+    if (roster_.expire(now))
+        rebuild();
+    if (now - lastSweep_ >= SweepInterval) {
+        lastSweep_ = now;
+        const auto idle = configuration_.idleFlowTimeout.count() > 0
+                              ? configuration_.idleFlowTimeout
+                              : std::chrono::milliseconds(DefaultIdleTimeout);
+        cache_.forgetIdle(now - idle);
+    }
+    std::vector<Outgoing> outgoing;
+    ++reportNumber_;
+    for (const auto &[tunnel, isAskedForRoster] : pacer_.due(now, roster_)) {
+        Tunnel::Report own = report();
+        own.wantsRoster = isAskedForRoster;
+        outgoing.push_back({tunnel, {{}, configuration_.generation, std::move(own)}});
+    }
+    return outgoing;
+}
+
+std::vector<Outgoing> BalancerCore::farewell(TimePoint, bool forGood)
+{
+    std::vector<Outgoing> outgoing;
+    ++reportNumber_;
+    for (const Model::Instance &balancer : roster_.balancers()) {
+        Tunnel::Report last = report();
+        last.sender.instance.state = Model::InstanceState::Suspect;
+        last.leaves = forGood;
+        outgoing.push_back({balancer.tunnel, {{}, configuration_.generation, std::move(last)}});
+    }
+    return outgoing;
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/balancertraffic.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "forwarding/balancercore.h"
+#include "forwarding/decisionlog.h"
+#include "forwarding/packetcodec.h"
+#include "forwarding/trafficthread.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace Forwarding {
+
+/// Counts of one balancer since its start.
+struct BalancerCounters
+{
+    std::atomic<std::uint64_t> received = 0;
+    std::atomic<std::uint64_t> unreadable = 0;
+    std::atomic<std::uint64_t> forwarded = 0;
+    std::atomic<std::uint64_t> resets = 0;
+    std::atomic<std::uint64_t> dropped = 0;
+};
+
+/// Moves packets of callers to agents as a BalancerCore decides. Public methods are thread-safe.
+template<PacketCodec Codec>
+class BalancerTraffic
+{
+public:
+    struct Options
+    {
+        Tunnel::Member self;
+        Model::Endpoint callers; ///< where callers' packets arrive
+    };
+
+    /// Binds the sockets. Throws std::system_error if one can't be bound.
+    explicit BalancerTraffic(const Options &options)
+        : callers_(options.callers)
+        , tunnel_(options.self.instance.tunnel)
+        , callerPort_(options.callers.port)
+        , core_(options.self)
+        , thread_(*this, callers_.descriptor(), tunnel_.descriptor())
+    {}
+
+    /// Starts to move packets. Called once.
+    void start() { thread_.start(); }
+
+    /// Calls \a use with the core, and returns what it returns.
+    template<typename F>
+    auto with(F use)
+    {
+        const std::lock_guard guard(mutex_);
+        return use(core_);
+    }
+
+    /// Tells the others that this process ends, and stops.
+    void stop(bool forGood)
+    {
+        thread_.stop();
+        const std::lock_guard guard(mutex_);
+        sendControl(core_.farewell(std::chrono::steady_clock::now(), forGood));
+    }
+
+    const BalancerCounters &counters() const { return counters_; }
+
+    /// Called on the traffic thread.
+    void onBatch(TimePoint now, std::size_t socket, const Tunnel::ReceiveBatch &batch,
+                 std::size_t count)
+    {
+        const std::lock_guard guard(mutex_);
+        if (socket == 0)
+            forward(now, batch, count);
+        else
+            takeControl(now, batch, count);
+    }
+
+    /// Called on the traffic thread.
+    void onTick(TimePoint now)
+    {
+        const std::lock_guard guard(mutex_);
+        sendControl(core_.tick(now));
+    }
+
+private:
+    void forward(TimePoint now, const Tunnel::ReceiveBatch &batch, std::size_t count)
+    {
+        counters_.received += count;
+        std::size_t headerCount = 0;
+        for (std::size_t index = 0; index < count; ++index) {
+            const auto packet = Codec::parse(batch.datagram(index));
+            if (!packet) {
+                ++counters_.unreadable;
+                continue;
+            }
+            const Tunnel::TcpPacket segment = callerSegment(*packet);
+            const BalancerVerdict verdict = core_.onCallerPacket(now, segment);
+            logDecision(segment, verdict);
+            if (const auto *sendOn = std::get_if<SendOn>(&verdict)) {
+                std::vector<std::byte> &header = headers_[headerCount++];
+                Tunnel::encodeDatagram(sendOn->datagram, header);
+                outgoing_.add(header, batch.datagram(index), sendOn->receiver);
+            } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
+                sendReset(*reset);
+            } else {
+                ++counters_.dropped;
+            }
+        }
+        counters_.forwarded += outgoing_.flush(tunnel_.descriptor());
+    }
+
+    void sendReset(const ResetFlow &reset)
+    {
+        ++counters_.resets;
+        Tunnel::sendDatagram(callers_.descriptor(),
+                             Codec::reset(reset.flow, reset.acknowledgement), {},
+                             {reset.flow.caller.address, callerPort_});
+    }
+
+    void takeControl(TimePoint now, const Tunnel::ReceiveBatch &batch, std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            const auto received = Tunnel::decodeDatagram(batch.datagram(index));
+            if (!received) {
+                ++counters_.unreadable;
+                continue;
+            }
+            sendControl(core_.onDatagram(now, received->datagram));
+        }
+    }
+
+    void sendControl(const std::vector<Outgoing> &outgoing)
+    {
+        for (const auto &[receiver, datagram] : outgoing) {
+            Tunnel::encodeDatagram(datagram, control_);
+            Tunnel::sendDatagram(tunnel_.descriptor(), control_, {}, receiver);
+        }
+    }
+
+    OwnedSocket callers_;
+    OwnedSocket tunnel_;
+    std::uint16_t callerPort_;
+    std::mutex mutex_; ///< guards core_ and the buffers
+    BalancerCore core_;
+    BalancerCounters counters_;
+    Tunnel::SendBatch outgoing_;
+    std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
+    std::vector<std::byte> control_;
+    TrafficThread<BalancerTraffic> thread_;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/controlpacer.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "membership/roster.h"
+
+#include <chrono>
+#include <vector>
+
+namespace Forwarding {
+
+/// A datagram to another process of the system.
+struct Outgoing
+{
+    Model::Endpoint receiver;
+    Tunnel::Datagram datagram;
+};
+
+/// Least time between two reports to one balancer, as far as the budget allows: the age of the load
+/// that placement sees stays near the running time of two requests.
+constexpr std::chrono::milliseconds ReportSpacing{40};
+
+/// Reports on changes of load that a process sends a second at most, over all receivers: bounds what
+/// they cost the smallest instance of a balancer at the number of agents of its failure domain.
+constexpr std::size_t ReportsPerSecond = 50;
+
+/// How often a process reports to a seed that it does not know yet.
+constexpr std::chrono::milliseconds SeedInterval{150};
+
+/// Decides when a process reports to which balancers: soon after a change to those of its own
+/// failure domain, and at ReportInterval to all. Not thread-safe.
+class ControlPacer
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    struct Receiver
+    {
+        Model::Endpoint tunnel;
+        bool isAskedForRoster = false;
+    };
+
+    explicit ControlPacer(std::string failureDomain);
+
+    /// Sets where balancers run that may not be known yet.
+    void setSeeds(std::vector<Model::Endpoint> seeds) { seeds_ = std::move(seeds); }
+
+    /// Says that the next report has something new.
+    void onChange() { hasChange_ = true; }
+
+    /// Says that every balancer is to be told at once.
+    void onUrgentChange();
+
+    /// Returns who gets a report now. \a balancers are those of the roster.
+    std::vector<Receiver> due(TimePoint now, const Membership::Roster &roster);
+
+private:
+    std::string failureDomain_;
+    std::vector<Model::Endpoint> seeds_;
+    TimePoint lastFull_;
+    TimePoint lastNear_;
+    TimePoint lastSeed_;
+    std::size_t nextAsked_ = 0;
+    bool hasChange_ = true;
+    bool isUrgent_ = true;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -0,0 +1,80 @@
+#include "forwarding/decisionlog.h"
+
+#include "observability/log.h"
+
+namespace Forwarding {
+
+using Observability::Level;
+using Observability::logDecisionLine;
+
+static std::string hopText(const SendOn &sendOn)
+{
+    return Model::endpointText(sendOn.receiver);
+}
+
+static const char *kindText(const Tunnel::TcpPacket &packet)
+{
+    return packet.opensFlow() ? "syn" : "flow-packet";
+}
+
+void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict)
+{
+    if (const auto *sendOn = std::get_if<SendOn>(&verdict)) {
+        if (packet.opensFlow())
+            logDecisionLine(Level::Info, "flow-offered",
+                            {{"flow", Model::flowText(packet.flow)},
+                             {"copy", packet.acknowledgement},
+                             {"generation", std::uint64_t(sendOn->datagram.generation)},
+                             {"agent", hopText(*sendOn)}});
+    } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
+        logReset(*reset, "no-route");
+    } else {
+        logDecisionLine(Level::Warning, "packet-dropped",
+                        {{"flow", Model::flowText(packet.flow)},
+                         {"kind", kindText(packet)},
+                         {"copy", packet.acknowledgement},
+                         {"cause", balancerDropText(std::get<BalancerDrop>(verdict))}});
+    }
+}
+
+void logDecision(const Tunnel::TcpPacket &packet, const Tunnel::PacketHeader &header,
+                 const AgentVerdict &verdict)
+{
+    if (std::holds_alternative<DeliverToBackend>(verdict)) {
+        if (packet.opensFlow() || header.passes > 0)
+            logDecisionLine(Level::Info,
+                            packet.opensFlow() ? "flow-accepted" : "flow-packet-found-owner",
+                            {{"flow", Model::flowText(packet.flow)}, {"passes", header.passes}});
+    } else if (const auto *sendOn = std::get_if<SendOn>(&verdict)) {
+        logDecisionLine(Level::Info, "packet-passed-on",
+                        {{"flow", Model::flowText(packet.flow)},
+                         {"kind", kindText(packet)},
+                         {"passes", header.passes},
+                         {"agent", hopText(*sendOn)}});
+    } else if (const auto *cause = std::get_if<Flows::DropCause>(&verdict)) {
+        logDecisionLine(Level::Warning, "packet-dropped",
+                        {{"flow", Model::flowText(packet.flow)},
+                         {"kind", kindText(packet)},
+                         {"passes", header.passes},
+                         {"cause", Flows::dropCauseText(*cause)}});
+    } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
+        logReset(*reset, "no-owner");
+    }
+}
+
+void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict)
+{
+    const auto *const sendOn = std::get_if<SendOn>(&verdict);
+    logDecisionLine(Level::Info, "packet-returned",
+                    {{"flow", Model::flowText(packet.flow)},
+                     {"kind", kindText(packet)},
+                     {"agent", sendOn ? hopText(*sendOn) : "none"}});
+}
+
+void logReset(const ResetFlow &reset, const char *cause)
+{
+    logDecisionLine(Level::Warning, "flow-reset",
+                    {{"flow", Model::flowText(reset.flow)}, {"cause", cause}});
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/decisionlog.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "forwarding/agentcore.h"
+#include "forwarding/balancercore.h"
+
+namespace Forwarding {
+
+/// Writes a line for each decision that places, finds, refuses or ends a flow; packets that only
+/// follow an earlier decision leave none. Thread-safe.
+void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict);
+
+/// Does the same for an agent's decision on a packet that came under \a header.
+void logDecision(const Tunnel::TcpPacket &packet, const Tunnel::PacketHeader &header,
+                 const AgentVerdict &verdict);
+
+/// Writes a line for a packet that the backend server returned.
+void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict);
+
+/// Writes a line for a reset that was sent for \a cause.
+void logReset(const ResetFlow &reset, const char *cause);
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/flowcache.cpp
@@ -0,0 +1,68 @@
+#include "forwarding/flowcache.h"
+
+namespace Forwarding {
+
+FlowCache::Entry *FlowCache::find(TimePoint now, const Model::FlowKey &flow)
+{
+    const auto entry = entries_.find(flow);
+    if (entry == entries_.end())
+        return nullptr;
+    entry->second.lastUse = now;
+    return &entry->second;
+}
+
+FlowCache::Entry *FlowCache::entryFor(TimePoint now, const Model::FlowKey &flow,
+                                      Model::ServiceId service)
+{
+    // A full cache costs a search by the agents, and no flow.
+    if (entries_.size() >= MaxCachedFlows && !entries_.contains(flow))
+        return nullptr;
+    Entry &entry = entries_[flow];
+    if (entry.service != service)
+        entry = {};
+    entry.service = service;
+    entry.lastUse = now;
+    return &entry;
+}
+
+/// Puts \a agent before the others.
+static void putFirst(Routing::Chain &agents, const Routing::Hop &agent)
+{
+    Routing::Chain ordered;
+    ordered.append(agent);
+    for (const Routing::Hop &other : agents) {
+        if (other.instance != agent.instance && ordered.size() < Routing::MaxChainLength)
+            ordered.append(other);
+    }
+    agents = ordered;
+}
+
+void FlowCache::onOffered(TimePoint now, const Model::FlowKey &flow, Model::ServiceId service,
+                          const Routing::Hop &agent)
+{
+    if (Entry *entry = entryFor(now, flow, service)) {
+        putFirst(entry->agents, agent);
+        entry->isOwned = false;
+    }
+}
+
+void FlowCache::onOwned(TimePoint now, const Model::FlowKey &flow, Model::ServiceId service,
+                        const Routing::Hop &owner)
+{
+    if (Entry *entry = entryFor(now, flow, service)) {
+        putFirst(entry->agents, owner);
+        entry->isOwned = true;
+    }
+}
+
+void FlowCache::forget(const Model::FlowKey &flow)
+{
+    entries_.erase(flow);
+}
+
+void FlowCache::forgetIdle(TimePoint limit)
+{
+    std::erase_if(entries_, [limit](const auto &entry) { return entry.second.lastUse < limit; });
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/packetcodec.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "tunnel/tcppacket.h"
+
+#include <array>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+/// Carries callers' packets unchanged between callers and backend servers.
+namespace Forwarding {
+
+/// What is carried back unchanged when a backend server returns a packet; 0 is no mark.
+enum class DeliveryMark : std::uint32_t {};
+
+/// The headers of one packet, as its sender wrote them.
+struct CarriedPacket
+{
+    Model::Endpoint source;
+    Model::Endpoint destination;
+    Tunnel::TcpPacket segment;  ///< its flow is left empty; see callerSegment()
+    bool isReturned = false;    ///< the backend server does not hold the flow or can't accept it
+    DeliveryMark mark{};        ///< as it was set before the delivery
+};
+
+/// Reads and writes the few fields of a packet that forwarding needs. All functions are
+/// thread-safe.
+template<typename C>
+concept PacketCodec = requires(Tunnel::Bytes bytes, std::span<std::byte> writable,
+                               DeliveryMark mark, const Model::FlowKey &flow,
+                               std::uint32_t acknowledgement)
+{
+    {
+        C::parse(bytes)
+        } -> std::same_as<std::optional<CarriedPacket>>;
+    {
+        C::setMark(writable, mark)
+        } -> std::same_as<void>;
+    {
+        C::clearReturned(writable)
+        } -> std::same_as<void>;
+    {
+        C::reset(flow, acknowledgement)
+        } -> std::same_as<std::vector<std::byte>>;
+};
+
+/// Returns the segment of a packet that a caller sent.
+inline Tunnel::TcpPacket callerSegment(const CarriedPacket &packet)
+{
+    Tunnel::TcpPacket segment = packet.segment;
+    segment.flow = {packet.source, packet.destination};
+    return segment;
+}
+
+/// Returns the segment of a packet that a backend server sent.
+inline Tunnel::TcpPacket backendSegment(const CarriedPacket &packet)
+{
+    Tunnel::TcpPacket segment = packet.segment;
+    segment.flow = {packet.destination, packet.source};
+    return segment;
+}
+
+} // namespace Forwarding
--- a/src/libs/membership/instanceregistry.cpp
+++ b/src/libs/membership/instanceregistry.cpp
@@ -6,7 +6,7 @@
 
 namespace Membership {
 
-bool InstanceRegistry::set(const std::string &key, Platform::Version version,
+bool InstanceRegistry::set(const std::string &key, Store::Version version,
                            const std::optional<std::string> &value)
 {
     Entry &entry = entries_[key];
@@ -26,18 +26,18 @@
     return changed;
 }
 
-bool InstanceRegistry::apply(const Platform::Change &change)
+bool InstanceRegistry::apply(const Store::Change &change)
 {
     if (!change.key.starts_with(InstancePrefix))
         return false;
     return set(change.key, change.version, change.value);
 }
 
-bool InstanceRegistry::apply(const Platform::Listing &listing)
+bool InstanceRegistry::apply(const Store::Listing &listing)
 {
     bool changed = false;
     std::set<std::string> listed;
-    for (const Platform::Object &object : listing.objects) {
+    for (const Store::Object &object : listing.objects) {
         if (!object.key.starts_with(InstancePrefix))
             continue;
         listed.insert(object.key);
@@ -69,10 +69,10 @@
     return entry == entries_.end() ? std::nullopt : entry->second.instance;
 }
 
-Platform::Version InstanceRegistry::versionOf(const std::string &name) const
+Store::Version InstanceRegistry::versionOf(const std::string &name) const
 {
     const auto entry = entries_.find(instanceKey(name));
-    return entry == entries_.end() ? Platform::Version{} : entry->second.version;
+    return entry == entries_.end() ? Store::Version{} : entry->second.version;
 }
 
 } // namespace Membership
--- a/src/libs/membership/instanceregistry.h
+++ b/src/libs/membership/instanceregistry.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "model/identity.h"
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <map>
 #include <optional>
@@ -18,11 +18,11 @@
 {
 public:
     /// Takes one change of the platform. Returns whether the set of instances changed.
-    bool apply(const Platform::Change &change);
+    bool apply(const Store::Change &change);
 
     /// Takes a whole listing: what it lacks and is older than its revision, is gone.
     /// Returns whether the set of instances changed.
-    bool apply(const Platform::Listing &listing);
+    bool apply(const Store::Listing &listing);
 
     /// Returns the announced instances, ordered by name.
     std::vector<Model::Instance> instances() const;
@@ -31,7 +31,7 @@
     std::optional<Model::Instance> find(const std::string &name) const;
 
     /// Returns the version under which \a name stands, or 0.
-    Platform::Version versionOf(const std::string &name) const;
+    Store::Version versionOf(const std::string &name) const;
 
     /// Returns the announcements that could not be read since the start.
     std::size_t malformedCount() const { return malformed_; }
@@ -39,11 +39,11 @@
 private:
     struct Entry
     {
-        Platform::Version version{};
+        Store::Version version{};
         std::optional<Model::Instance> instance; ///< nothing after a deletion
     };
 
-    bool set(const std::string &key, Platform::Version version,
+    bool set(const std::string &key, Store::Version version,
              const std::optional<std::string> &value);
 
     std::map<std::string, Entry> entries_;
--- /dev/null
+++ b/src/libs/membership/roster.cpp
@@ -0,0 +1,215 @@
+#include "membership/roster.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Membership {
+
+/// Silence after which a report with an older incarnation is a restart after a step of the clock,
+/// and no late datagram: none stays longer on its way.
+static constexpr std::chrono::seconds LateDatagramLimit{1};
+
+static std::uint64_t hashOf(const Tunnel::Member &member)
+{
+    const std::uint64_t words[3] = {std::uint64_t(Model::instanceId(member.instance.name)),
+                                    std::uint64_t(member.instance.incarnation),
+                                    std::uint64_t(member.instance.state)};
+    return XXH3_64bits(words, sizeof words);
+}
+
+/// Whether \a reader has a use for \a member.
+static bool concerns(const Tunnel::Member &reader, const Tunnel::Member &member)
+{
+    return reader.role == Tunnel::Role::Balancer || member.role == Tunnel::Role::Balancer
+           || member.instance.service == reader.instance.service;
+}
+
+Roster::Roster(Tunnel::Member self)
+    : self_(std::move(self))
+{}
+
+bool Roster::remove(TimePoint now, const std::string &name, Model::Incarnation incarnation)
+{
+    left_[name] = {incarnation, now};
+    return entries_.erase(name) > 0;
+}
+
+bool Roster::onReport(TimePoint now, const Tunnel::Report &report)
+{
+    const Tunnel::Member &member = report.sender;
+    const std::string &name = member.instance.name;
+    if (name == self_.instance.name)
+        return false;
+    if (report.leaves)
+        return remove(now, name, member.instance.incarnation);
+
+    const auto known = entries_.find(name);
+    if (known == entries_.end()) {
+        left_.erase(name);
+        entries_[name] = {member, now, false, report.number};
+        return true;
+    }
+    Entry &entry = known->second;
+    const auto incarnation = entry.member.instance.incarnation;
+    const bool isLate = member.instance.incarnation < incarnation
+                        && now - entry.lastHeard < LateDatagramLimit;
+    const bool isOvertaken =
+        member.instance.incarnation == incarnation && report.number < entry.number;
+    if (isLate || isOvertaken)
+        return false;
+    const bool changed = entry.isSuspect || entry.member.instance != member.instance;
+    entry = {member, now, false, report.number};
+    return changed;
+}
+
+bool Roster::addRelayed(TimePoint now, const Tunnel::Member &member)
+{
+    const std::string &name = member.instance.name;
+    if (const auto left = left_.find(name);
+        left != left_.end() && member.instance.incarnation <= left->second.incarnation)
+        return false;
+    const auto [known, isNew] = entries_.try_emplace(name);
+    Entry &entry = known->second;
+    const TimePoint heard = now - member.silence;
+    if (isNew) {
+        entry = {member, heard, false, 0};
+        return true;
+    }
+    if (!isAuthority()) {
+        const bool changed = entry.member.instance != member.instance;
+        entry.member = member;
+        return changed;
+    }
+    if (member.instance.incarnation < entry.member.instance.incarnation)
+        return false;
+    entry.lastHeard = std::max(entry.lastHeard, heard);
+    if (member.instance.incarnation == entry.member.instance.incarnation)
+        return false;
+    entry = {member, heard, false, 0};
+    return true;
+}
+
+bool Roster::onPart(TimePoint now, const Tunnel::RosterPart &part)
+{
+    bool changed = false;
+    std::map<std::string, const Tunnel::Member *> listed;
+    for (const Tunnel::Member &member : part.members) {
+        if (member.instance.name == self_.instance.name)
+            continue;
+        listed[member.instance.name] = &member;
+        changed |= addRelayed(now, member);
+    }
+    if (isAuthority())
+        return changed;
+    const std::string lastName = part.members.empty() ? "" : part.members.back().instance.name;
+    const auto erased = std::erase_if(entries_, [&](const auto &entry) {
+        const bool isInRange = entry.first > part.afterName
+                               && (part.isLast || entry.first <= lastName);
+        return isInRange && !listed.contains(entry.first);
+    });
+    return changed || erased > 0;
+}
+
+bool Roster::expire(TimePoint now)
+{
+    if (!isAuthority())
+        return false;
+    bool changed = false;
+    for (auto &[name, entry] : entries_) {
+        const bool isSuspect = now - entry.lastHeard >= SuspectSilence;
+        changed |= isSuspect != entry.isSuspect;
+        entry.isSuspect = isSuspect;
+    }
+    changed |= std::erase_if(entries_, [now](const auto &entry) {
+                   return now - entry.second.lastHeard >= ForgetSilence;
+               }) > 0;
+    std::erase_if(left_,
+                  [now](const auto &entry) { return now - entry.second.since >= LeftLifetime; });
+    return changed;
+}
+
+void Roster::onPaused(std::chrono::milliseconds pause)
+{
+    for (auto &[name, entry] : entries_)
+        entry.lastHeard += pause;
+}
+
+std::vector<Model::Instance> Roster::agents() const
+{
+    std::vector<Model::Instance> agents;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.member.role != Tunnel::Role::Agent)
+            continue;
+        agents.push_back(entry.member.instance);
+        if (entry.isSuspect)
+            agents.back().state = Model::InstanceState::Suspect;
+    }
+    return agents;
+}
+
+std::vector<Model::Instance> Roster::balancers() const
+{
+    std::vector<Model::Instance> balancers;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.member.role == Tunnel::Role::Balancer && !entry.isSuspect)
+            balancers.push_back(entry.member.instance);
+    }
+    return balancers;
+}
+
+bool Roster::hasAddress(std::uint32_t address) const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [address](const auto &entry) {
+        return entry.second.member.instance.tunnel.address == address && !entry.second.isSuspect;
+    });
+}
+
+/// What the reader is to know: an agent takes over which members are suspect, a balancer judges
+/// that itself.
+std::vector<Tunnel::Member> Roster::viewOf(const Tunnel::Member &reader) const
+{
+    std::vector<Tunnel::Member> view;
+    const bool readsForItself = reader.role == Tunnel::Role::Balancer;
+    for (const auto &[name, entry] : entries_) {
+        if (name == reader.instance.name || !concerns(reader, entry.member))
+            continue;
+        view.push_back(entry.member);
+        if (entry.isSuspect && !readsForItself)
+            view.back().instance.state = Model::InstanceState::Suspect;
+    }
+    if (self_.instance.name != reader.instance.name && concerns(reader, self_))
+        view.push_back(self_);
+    std::sort(view.begin(), view.end(), [](const auto &left, const auto &right) {
+        return left.instance.name < right.instance.name;
+    });
+    return view;
+}
+
+std::uint64_t Roster::digestFor(const Tunnel::Member &reader) const
+{
+    std::uint64_t digest = reader.role == Tunnel::Role::Balancer ? hashOf(reader) : 0;
+    for (const Tunnel::Member &member : viewOf(reader))
+        digest ^= hashOf(member);
+    return digest;
+}
+
+std::vector<Tunnel::RosterPart> Roster::partsFor(TimePoint now, const Tunnel::Member &reader) const
+{
+    std::vector<Tunnel::RosterPart> parts(1);
+    for (Tunnel::Member &member : viewOf(reader)) {
+        if (const auto entry = entries_.find(member.instance.name); entry != entries_.end())
+            member.silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - entry->second.lastHeard);
+        if (parts.back().members.size() == Tunnel::MaxMembersPerPart) {
+            Tunnel::RosterPart next;
+            next.afterName = parts.back().members.back().instance.name;
+            parts.push_back(std::move(next));
+        }
+        parts.back().members.push_back(std::move(member));
+    }
+    parts.back().isLast = true;
+    return parts;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/roster.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "tunnel/datagram.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Membership {
+
+/// How often a process reports itself while nothing changes.
+constexpr std::chrono::milliseconds ReportInterval{300};
+
+/// Silence after which a member gets no new work: three reports lost or late.
+constexpr std::chrono::milliseconds SuspectSilence{3 * ReportInterval};
+
+/// Silence after which a member counts as gone: longer than a restart takes.
+constexpr std::chrono::seconds ForgetSilence{8};
+
+/// How long what others still say of a member that left is ignored: longer than ForgetSilence, so
+/// that nobody has it in a roster any more.
+constexpr std::chrono::seconds LeftLifetime{20};
+
+/// The processes of the system that one process knows of.
+///
+/// A balancer hears every member itself; what other balancers say only adds members. An agent takes
+/// over a balancer's view of its own service and of the balancers. Without sockets, threads or
+/// clocks; not thread-safe.
+class Roster
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    /// \a self is the process that keeps the roster; it is not listed.
+    explicit Roster(Tunnel::Member self);
+
+    /// Takes what a member says of itself. Returns whether the view changed.
+    bool onReport(TimePoint now, const Tunnel::Report &report);
+
+    /// Takes what a balancer says of others. Returns whether the view changed.
+    bool onPart(TimePoint now, const Tunnel::RosterPart &part);
+
+    /// Suspects and forgets silent members, on a balancer. Returns whether the view changed.
+    bool expire(TimePoint now);
+
+    /// Notes that this process itself did not run for \a pause, so that nobody else is blamed.
+    void onPaused(std::chrono::milliseconds pause);
+
+    /// Returns the agents, suspect ones with that state.
+    std::vector<Model::Instance> agents() const;
+
+    /// Returns the balancers that are not suspect.
+    std::vector<Model::Instance> balancers() const;
+
+    /// Whether a member that is not suspect has its tunnel at \a address.
+    bool hasAddress(std::uint32_t address) const;
+
+    /// Returns a number that changes with the view that \a reader gets of this roster.
+    std::uint64_t digestFor(const Tunnel::Member &reader) const;
+
+    /// Returns the digest of what this process itself knows.
+    std::uint64_t digest() const { return digestFor(self_); }
+
+    /// Returns the view that \a reader gets of this roster, this process included.
+    std::vector<Tunnel::RosterPart> partsFor(TimePoint now, const Tunnel::Member &reader) const;
+
+private:
+    struct Entry
+    {
+        Tunnel::Member member;
+        TimePoint lastHeard;
+        bool isSuspect = false;
+        std::uint64_t number = 0; ///< of the latest report heard from the member itself
+    };
+
+    struct Left
+    {
+        Model::Incarnation incarnation{};
+        TimePoint since;
+    };
+
+    std::vector<Tunnel::Member> viewOf(const Tunnel::Member &reader) const;
+    bool addRelayed(TimePoint now, const Tunnel::Member &member);
+    bool isAuthority() const { return self_.role == Tunnel::Role::Balancer; }
+    bool remove(TimePoint now, const std::string &name, Model::Incarnation incarnation);
+
+    Tunnel::Member self_;
+    std::map<std::string, Entry> entries_;
+    std::map<std::string, Left> left_;
+};
+
+} // namespace Membership
--- a/src/libs/model/service.h
+++ b/src/libs/model/service.h
@@ -22,6 +22,24 @@
     bool operator==(const Service &) const = default;
 };
 
+/// A service that takes a share of a route's new flows.
+struct RouteTarget
+{
+    std::string service;
+    std::uint32_t weight = 1; ///< share among the targets of its route
+
+    bool operator==(const RouteTarget &) const = default;
+};
+
+/// An address that callers use, and the services that may take flows to it.
+struct Route
+{
+    Endpoint address;
+    std::vector<RouteTarget> targets;
+
+    bool operator==(const Route &) const = default;
+};
+
 /// What the questionnaire generates and operators accept.
 struct Configuration
 {
@@ -30,6 +48,8 @@
     std::vector<std::string> recentChanges; ///< ids of the latest acceptances, newest first
     std::vector<std::string> failureDomains;
     std::vector<Service> services;
+    std::vector<Route> routes; ///< addresses besides those of the services themselves
+    std::chrono::milliseconds idleFlowTimeout{0}; ///< an idle flow may be forgotten; 0: never
 
     bool operator==(const Configuration &) const = default;
 };
--- a/src/libs/observability/log.cpp
+++ b/src/libs/observability/log.cpp
@@ -2,9 +2,14 @@
 
 #include <fmt/chrono.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
 
 namespace Observability {
 
@@ -52,6 +57,135 @@
     return text + '"';
 }
 
+namespace {
+
+/// Lines on their way to standard output.
+class LogWriter
+{
+public:
+    ~LogWriter() { finish(); }
+
+    void add(std::string line)
+    {
+        const std::lock_guard guard(mutex_);
+        if (!thread_.joinable())
+            thread_ = std::thread([this] { run(); });
+        if (lines_.size() >= MaxWaitingLines) {
+            ++omitted_;
+            return;
+        }
+        lines_.push_back(std::move(line));
+        if (lines_.size() == 1)
+            added_.notify_one();
+    }
+
+    void noteOmitted() { ++omitted_; }
+    std::uint64_t omitted() const { return omitted_; }
+
+    void finish()
+    {
+        {
+            const std::lock_guard guard(mutex_);
+            stopping_ = true;
+        }
+        added_.notify_one();
+        if (thread_.joinable())
+            thread_.join();
+        stopping_ = false;
+    }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        while (true) {
+            added_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+            if (lines_.empty())
+                return;
+            // Lines that follow soon are written with these.
+            added_.wait_for(lock, GatherTime, [this] { return stopping_; });
+            std::string text;
+            for (const std::string &line : lines_)
+                text += line;
+            lines_.clear();
+            lock.unlock();
+            write(text);
+            lock.lock();
+        }
+    }
+
+    void write(std::string_view text)
+    {
+        while (!text.empty()) {
+            const ssize_t written = ::write(STDOUT_FILENO, text.data(), text.size());
+            if (written < 0 && errno == EINTR)
+                continue;
+            if (written <= 0) {
+                ++omitted_;
+                return;
+            }
+            text.remove_prefix(std::size_t(written));
+        }
+    }
+
+    static constexpr std::chrono::milliseconds GatherTime{100};
+
+    std::mutex mutex_;
+    std::condition_variable added_;
+    std::deque<std::string> lines_;
+    bool stopping_ = false;
+    std::atomic<std::uint64_t> omitted_ = 0;
+    std::thread thread_;
+};
+
+/// Lets so many lines through in each second.
+class LineBudget
+{
+public:
+    bool take()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const std::lock_guard guard(mutex_);
+        if (now - since_ >= std::chrono::seconds(1)) {
+            since_ = now;
+            taken_ = 0;
+        }
+        return ++taken_ <= DecisionLinesPerSecond;
+    }
+
+private:
+    std::mutex mutex_;
+    std::chrono::steady_clock::time_point since_;
+    std::uint32_t taken_ = 0;
+};
+
+} // namespace
+
+static LogWriter &writer()
+{
+    static LogWriter instance;
+    return instance;
+}
+
+std::uint64_t omittedLogLines()
+{
+    return writer().omitted();
+}
+
+void flushLog()
+{
+    writer().finish();
+}
+
+void logDecisionLine(Level level, std::string_view event, std::initializer_list<Field> fields)
+{
+    static LineBudget budget;
+    if (budget.take())
+        log(level, event, fields);
+    else
+        writer().noteOmitted();
+}
+
 void log(Level level, std::string_view event, std::initializer_list<Field> fields)
 {
     if (level < threshold)
@@ -64,7 +198,7 @@
     for (const Field &field : fields)
         line += fmt::format(" {}={}", field.name, quoted(field.value));
     line += '\n';
-    fmt::print(stderr, "{}", line);
+    writer().add(std::move(line));
 }
 
 } // namespace Observability
--- a/src/libs/observability/log.h
+++ b/src/libs/observability/log.h
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -31,7 +32,23 @@
     std::string value;
 };
 
-/// Writes one line to standard error: time, level, event and fields as key=value. Thread-safe.
+/// Lines that may wait to be written; more are left out and counted.
+constexpr std::size_t MaxWaitingLines = 4096;
+
+/// Decision lines a second; more are left out and counted. A standard instance places fewer flows.
+constexpr std::uint32_t DecisionLinesPerSecond = 200;
+
+/// Writes one line to standard output: time, level, event and fields as key=value. A thread of its
+/// own writes, so that a reader that stands still delays nobody. Thread-safe.
 void log(Level level, std::string_view event, std::initializer_list<Field> fields = {});
 
+/// Does the same for a decision on one flow or request, as far as DecisionLinesPerSecond allows.
+void logDecisionLine(Level level, std::string_view event, std::initializer_list<Field> fields);
+
+/// Returns the lines that were left out so far. Thread-safe.
+std::uint64_t omittedLogLines();
+
+/// Waits until all lines are written. Called at the end of a process.
+void flushLog();
+
 } // namespace Observability
--- a/src/libs/operations/acceptance.cpp
+++ b/src/libs/operations/acceptance.cpp
@@ -2,7 +2,7 @@
 
 namespace Operations {
 
-std::optional<Model::Configuration> configurationOf(const Platform::Object &object)
+std::optional<Model::Configuration> configurationOf(const Store::Object &object)
 {
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::optional<Model::Configuration>> {
--- a/src/libs/operations/acceptance.h
+++ b/src/libs/operations/acceptance.h
@@ -2,7 +2,7 @@
 
 #include "configuration/configurationcodec.h"
 #include "membership/announcement.h"
-#include "platform/conditionalwrite.h"
+#include "store/conditionalwrite.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -32,29 +32,29 @@
 constexpr std::size_t MaxRecentChanges = 16;
 
 /// Reads the configuration that \a object holds; nothing if it can't be read.
-std::optional<Model::Configuration> configurationOf(const Platform::Object &object);
+std::optional<Model::Configuration> configurationOf(const Store::Object &object);
 
 /// Puts \a candidate in force as the generation after the current one.
 ///
 /// \a expected is the generation that the operator decided on, if any: another one in force is a
 /// conflict. \a changeId names this acceptance. \a pause is called between reads after a lost
 /// answer.
-template<Platform::ObjectClient C>
+template<Store::ObjectClient C>
 AcceptanceResult accept(C &client, Model::Configuration candidate,
                         std::optional<Model::Generation> expected, const std::string &changeId,
                         const std::function<void(int)> &pause)
 {
     const std::string key(Membership::ConfigurationKey);
-    const auto current = Platform::attempt([&] { return client.read(key); });
-    Platform::Precondition precondition = Platform::IfAbsent{};
+    const auto current = Store::attempt([&] { return client.read(key); });
+    Store::Precondition precondition = Store::IfAbsent{};
     Model::Configuration before;
-    if (const auto *object = std::get_if<Platform::Object>(&current)) {
+    if (const auto *object = std::get_if<Store::Object>(&current)) {
         const auto inForce = configurationOf(*object);
         if (!inForce)
             return {Acceptance::Malformed, {}};
         before = *inForce;
-        precondition = Platform::IfVersion{object->version};
-    } else if (std::get<Platform::FailureKind>(current) != Platform::FailureKind::NotFound) {
+        precondition = Store::IfVersion{object->version};
+    } else if (std::get<Store::FailureKind>(current) != Store::FailureKind::NotFound) {
         return {Acceptance::Unavailable, {}};
     }
     if (expected && *expected != before.generation)
@@ -72,16 +72,16 @@
                       != found->recentChanges.end();
     };
     const auto written =
-        Platform::writeOnce(client, key, Configuration::encodeConfiguration(candidate).dump(),
+        Store::writeOnce(client, key, Configuration::encodeConfiguration(candidate).dump(),
                             precondition, contains, pause);
     switch (written.outcome) {
-    case Platform::WriteOutcome::Written:
+    case Store::WriteOutcome::Written:
         return {Acceptance::InForce, candidate.generation};
-    case Platform::WriteOutcome::Conflict:
+    case Store::WriteOutcome::Conflict:
         return {Acceptance::Conflict, {}};
-    case Platform::WriteOutcome::Unknown:
+    case Store::WriteOutcome::Unknown:
         return {Acceptance::Unknown, {}};
-    case Platform::WriteOutcome::Failed:
+    case Store::WriteOutcome::Failed:
         break;
     }
     return {Acceptance::Unavailable, {}};
--- /dev/null
+++ b/src/libs/placement/loadboard.cpp
@@ -0,0 +1,92 @@
+#include "placement/loadboard.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace Placement {
+
+/// Weight of the newest report in the smoothed load: about ten reports are remembered, so that open
+/// flows that pause between their requests still count.
+static constexpr double NewestReportWeight = 0.1;
+
+LoadBoard::LoadBoard(std::string failureDomain)
+    : failureDomain_(std::move(failureDomain))
+{}
+
+void LoadBoard::onReport(TimePoint, const Tunnel::Report &report)
+{
+    Load &load = loads_[Model::instanceId(report.sender.instance.name)];
+    load.waiting = report.waiting;
+    load.usualWaiting += NewestReportWeight * (load.waiting - load.usualWaiting);
+    load.slots = std::max(1u, report.slots);
+    load.answerTime = report.answerTime;
+    load.placedSince = 0;
+}
+
+void LoadBoard::onPlaced(TimePoint now, Model::InstanceId instance)
+{
+    Load &load = loads_[instance];
+    if (load.placedSince == 0)
+        load.placedFirst = now;
+    load.placedSince += 1;
+}
+
+void LoadBoard::keepOnly(const std::vector<Model::Instance> &agents)
+{
+    std::set<Model::InstanceId> kept;
+    for (const Model::Instance &agent : agents)
+        kept.insert(Model::instanceId(agent.name));
+    std::erase_if(loads_, [&kept](const auto &entry) { return !kept.contains(entry.first); });
+}
+
+/// Expected time to the answer in microseconds, as if every request ran as long as the usual one.
+double LoadBoard::costOf(TimePoint, const Model::Instance &instance, Model::InstanceId id) const
+{
+    using Micros = std::chrono::duration<double, std::micro>;
+    const auto known = loads_.find(id);
+    const Load load = known == loads_.end() ? Load{} : known->second;
+    const double answerTime = load.answerTime.count() > 0 ? Micros(load.answerTime).count()
+                                                          : Micros(UnknownAnswerTime).count();
+    const double waiting = (load.waiting + load.usualWaiting) / 2 + load.placedSince;
+    const double otherDomain =
+        instance.failureDomain == failureDomain_ ? 0 : Micros(OtherDomainCost).count();
+    return answerTime * (waiting + 1) + otherDomain;
+}
+
+Routing::Chain LoadBoard::order(TimePoint now, const Routing::ServiceTable &table,
+                                std::span<const Model::InstanceId> tried) const
+{
+    struct Candidate
+    {
+        bool isLast = false;
+        double cost = 0;
+        Routing::Hop hop;
+    };
+    std::vector<Candidate> candidates;
+    candidates.reserve(table.instances().size());
+    for (const Model::Instance &instance : table.instances()) {
+        if (instance.state != Model::InstanceState::Ready)
+            continue;
+        const Model::InstanceId id = Model::instanceId(instance.name);
+        const auto load = loads_.find(id);
+        const bool isSilent = load != loads_.end() && load->second.placedSince > 0
+                              && now - load->second.placedFirst > PlacementSilence;
+        const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
+        candidates.push_back({isSilent || wasTried,
+                              costOf(now, instance, id),
+                              {id, instance.incarnation, instance.tunnel}});
+    }
+    const auto count = std::min(candidates.size(), Routing::MaxChainLength);
+    std::partial_sort(candidates.begin(), candidates.begin() + std::ptrdiff_t(count),
+                      candidates.end(), [](const Candidate &left, const Candidate &right) {
+                          return std::tie(left.isLast, left.cost)
+                                 < std::tie(right.isLast, right.cost);
+                      });
+    Routing::Chain chain;
+    for (std::size_t index = 0; index < count; ++index)
+        chain.append(candidates[index].hop);
+    return chain;
+}
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/loadboard.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "routing/routingtable.h"
+#include "tunnel/datagram.h"
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+/// Which agent a new flow is offered to, and how loaded an agent is.
+namespace Placement {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// What an answer from another failure domain may take longer before it is worth the bytes that
+/// then cross domains: a sixth of the tightest latency objective of the deployments, 120 ms.
+constexpr std::chrono::milliseconds OtherDomainCost{20};
+
+/// Answer time assumed of an agent that has not answered anything yet: the mean running time of the
+/// deployments' requests, and a half more for a cold start.
+constexpr std::chrono::milliseconds UnknownAnswerTime{30};
+
+/// How long an agent may leave a placed flow without a report before it is asked last. Reports
+/// follow a change within ReportSpacing; the rest covers a processor shared by others.
+constexpr std::chrono::milliseconds PlacementSilence{150};
+
+/// What the agents report, and which of them a balancer offers a new flow to first.
+///
+/// Answers swings of demand and backend servers of unequal speed: a flow goes to where its request
+/// is answered first, counting the flows placed since the last report. Without sockets, threads or
+/// clocks; not thread-safe.
+class LoadBoard
+{
+public:
+    /// \a failureDomain is the one of the balancer.
+    explicit LoadBoard(std::string failureDomain);
+
+    /// Takes what an agent says of its load.
+    void onReport(TimePoint now, const Tunnel::Report &report);
+
+    /// Notes that a new flow was offered to \a instance.
+    void onPlaced(TimePoint now, Model::InstanceId instance);
+
+    /// Forgets agents that \a table no longer names.
+    void keepOnly(const std::vector<Model::Instance> &agents);
+
+    /// Returns the agents for a new flow, best first; those in \a tried come last.
+    Routing::Chain order(TimePoint now, const Routing::ServiceTable &table,
+                         std::span<const Model::InstanceId> tried) const;
+
+private:
+    struct Load
+    {
+        double waiting = 0;         ///< at the last report
+        double usualWaiting = 0;    ///< smoothed
+        double slots = 1;
+        double placedSince = 0;     ///< flows placed after the last report
+        std::chrono::microseconds answerTime{0};
+        TimePoint placedFirst;      ///< the first placement after the last report
+    };
+
+    double costOf(TimePoint now, const Model::Instance &instance, Model::InstanceId id) const;
+
+    std::string failureDomain_;
+    std::unordered_map<Model::InstanceId, Load> loads_;
+};
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/loadmeter.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "model/endpoint.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace Placement {
+
+/// How long a new flow counts as about to send its request: the longest handshake of a caller that
+/// lost one packet and sent it again after 200 ms.
+constexpr std::chrono::milliseconds ExpectedRequest{400};
+
+/// Measures the load of one backend server by the packets that pass: which flows wait for an
+/// answer, and how long answers take. Not thread-safe.
+class LoadMeter
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    /// Notes a packet of the caller that opens \a flow.
+    void onOpening(TimePoint now, const Model::FlowKey &flow);
+
+    /// Notes bytes of the caller on \a flow.
+    void onRequestBytes(TimePoint now, const Model::FlowKey &flow);
+
+    /// Notes bytes of the backend server on \a flow. Returns the time from the request's last
+    /// bytes to the answer if they begin one.
+    std::optional<std::chrono::microseconds> onAnswerBytes(TimePoint now,
+                                                           const Model::FlowKey &flow);
+
+    /// Notes that \a flow is over.
+    void onGone(const Model::FlowKey &flow);
+
+    /// Forgets everything, since the backend server was replaced.
+    void clear();
+
+    /// Returns the flows whose request waits for its answer, or is expected.
+    std::uint32_t waiting(TimePoint now);
+
+    /// Returns the smoothed time to an answer, or the age of the oldest request where that is
+    /// longer: a server that hangs answers nothing that could be measured.
+    std::chrono::microseconds answerTime(TimePoint now);
+
+private:
+    struct Request
+    {
+        TimePoint firstBytes;
+        TimePoint lastBytes;
+        bool hasBytes = false; ///< otherwise the flow is new and its request expected
+    };
+
+    std::unordered_map<Model::FlowKey, Request> requests_;
+    double smoothedMicros_ = 0;
+    TimePoint lastSample_;
+};
+
+} // namespace Placement
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace Routing {
 
@@ -190,6 +191,34 @@
     return chain;
 }
 
+ServiceTable::Continuation ServiceTable::chainAfter(std::uint64_t flowHash, const Chain &asked,
+                                                    std::size_t first) const
+{
+    const std::size_t bucket = bucketOf(flowHash);
+    // Suspect instances last: a search ends at an instance that does not run.
+    std::vector<std::tuple<bool, double, std::uint16_t>> ranking;
+    ranking.reserve(instances_.size());
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        const Model::Instance &instance = instances_[index];
+        ranking.emplace_back(instance.state == Model::InstanceState::Suspect,
+                             -score(ids_[index], instance.capacity, bucket), index);
+    }
+    std::sort(ranking.begin(), ranking.end());
+
+    Continuation continuation;
+    std::size_t rank = first;
+    for (; rank < ranking.size() && continuation.chain.size() < MaxChainLength; ++rank) {
+        const Hop hop = hopOf(std::get<std::uint16_t>(ranking[rank]));
+        const bool wasAsked = std::any_of(asked.begin(), asked.end(), [&hop](const Hop &other) {
+            return other.instance == hop.instance;
+        });
+        if (!wasAsked)
+            continuation.chain.append(hop);
+    }
+    continuation.next = rank;
+    return continuation;
+}
+
 std::size_t ServiceTable::memoryBytes() const
 {
     return buckets_.size() * sizeof(Rank) + instances_.size() * sizeof(Model::Instance)
@@ -213,37 +242,74 @@
         std::sort(members.begin(), members.end(),
                   [](const auto &left, const auto &right) { return left.name < right.name; });
         std::shared_ptr<const ServiceTable> entry;
-        const auto before = previous.byAddress_.find(service.address);
-        if (before == previous.byAddress_.end() || before->second->service() != service)
+        const auto before = previous.byName_.find(service.name);
+        if (before == previous.byName_.end() || before->second->service() != service)
             entry = std::make_shared<ServiceTable>(service, std::move(members));
         else if (before->second->instances() == members)
             entry = before->second;
         else
             entry = std::make_shared<ServiceTable>(*before->second, std::move(members));
-        table->byAddress_.emplace(service.address, std::move(entry));
+        table->byName_.emplace(service.name, std::move(entry));
+        if (service.address.isValid())
+            table->addTarget(service.address, service.name, 1);
+    }
+    for (const Model::Route &route : configuration.routes) {
+        for (const Model::RouteTarget &target : route.targets)
+            table->addTarget(route.address, target.service, target.weight);
     }
     return table;
 }
 
+void RoutingTable::addTarget(const Model::Endpoint &address, const std::string &service,
+                             std::uint32_t weight)
+{
+    const auto table = byName_.find(service);
+    if (table == byName_.end() || weight == 0)
+        return;
+    std::vector<Target> &targets = byAddress_[address];
+    const std::uint64_t weightsBefore = targets.empty() ? 0 : targets.back().weightsUpTo;
+    targets.push_back({table->second, weightsBefore + weight});
+}
+
 const ServiceTable *RoutingTable::find(const Model::Endpoint &address) const
 {
     const auto entry = byAddress_.find(address);
-    return entry == byAddress_.end() ? nullptr : entry->second.get();
+    return entry == byAddress_.end() ? nullptr : entry->second.front().table.get();
 }
 
-const ServiceTable *RoutingTable::findByName(const std::string &name) const
+const ServiceTable *RoutingTable::pick(const Model::Endpoint &address, std::uint64_t flowHash) const
 {
-    for (const auto &[address, table] : byAddress_) {
-        if (table->service().name == name)
-            return table.get();
+    const auto entry = byAddress_.find(address);
+    if (entry == byAddress_.end())
+        return nullptr;
+    const std::vector<Target> &targets = entry->second;
+    const std::uint64_t place = mix(flowHash) % targets.back().weightsUpTo;
+    const auto target = std::upper_bound(
+        targets.begin(), targets.end(), place,
+        [](std::uint64_t value, const Target &entry) { return value < entry.weightsUpTo; });
+    return target->table.get();
+}
+
+std::vector<const ServiceTable *> RoutingTable::tablesAt(const Model::Endpoint &address) const
+{
+    std::vector<const ServiceTable *> tables;
+    if (const auto entry = byAddress_.find(address); entry != byAddress_.end()) {
+        for (const Target &target : entry->second)
+            tables.push_back(target.table.get());
     }
-    return nullptr;
+    return tables;
+}
+
+const ServiceTable *RoutingTable::findByName(const std::string &name) const
+{
+    const auto entry = byName_.find(name);
+    return entry == byName_.end() ? nullptr : entry->second.get();
 }
 
 std::size_t RoutingTable::memoryBytes() const
 {
     std::size_t bytes = 0;
-    for (const auto &[address, table] : byAddress_)
+    for (const auto &[name, table] : byName_)
         bytes += table->memoryBytes();
     return bytes;
 }
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -74,6 +74,18 @@
     /// Returns the chain for a packet of the flow with \a flowHash; empty if none can take it.
     Chain chainFor(std::uint64_t flowHash, PacketKind kind) const;
 
+    /// Instances in the order of their rank, and where a search among them goes on.
+    struct Continuation
+    {
+        Chain chain;
+        std::size_t next = 0; ///< rank at which the search goes on after the chain
+    };
+
+    /// Returns the instances ranked from \a first on, whatever their state, that \a asked does not
+    /// name; an empty chain when all were asked. Finds the owner of a flow that no instance of its
+    /// chain owns.
+    Continuation chainAfter(std::uint64_t flowHash, const Chain &asked, std::size_t first) const;
+
     /// Returns the bytes that the ranking holds.
     std::size_t memoryBytes() const;
 
@@ -109,15 +121,22 @@
                                                      const RoutingTable &previous,
                                                      std::uint64_t version);
 
-    /// Returns the table of the service at \a address, or null. Thread-safe.
+    /// Returns the table of the first service at \a address, or null. Thread-safe.
     const ServiceTable *find(const Model::Endpoint &address) const;
 
+    /// Returns the table of the service that takes the flow with \a flowHash to \a address, by the
+    /// weights of the route; null if there is no route. Thread-safe.
+    const ServiceTable *pick(const Model::Endpoint &address, std::uint64_t flowHash) const;
+
+    /// Returns the tables of all services that take flows to \a address. Thread-safe.
+    std::vector<const ServiceTable *> tablesAt(const Model::Endpoint &address) const;
+
     /// Returns the table of the service called \a name, or null. Thread-safe.
     const ServiceTable *findByName(const std::string &name) const;
 
     Model::Generation generation() const { return generation_; }
     std::uint64_t version() const { return version_; }
-    std::size_t serviceCount() const { return byAddress_.size(); }
+    std::size_t serviceCount() const { return byName_.size(); }
 
     /// Returns the bytes that all rankings hold. Thread-safe.
     std::size_t memoryBytes() const;
@@ -131,8 +150,17 @@
         }
     };
 
-    std::unordered_map<Model::Endpoint, std::shared_ptr<const ServiceTable>, EndpointHash>
-        byAddress_;
+    struct Target
+    {
+        std::shared_ptr<const ServiceTable> table;
+        std::uint64_t weightsUpTo = 0; ///< sum of the weights of this target and those before it
+    };
+
+    void addTarget(const Model::Endpoint &address, const std::string &service,
+                   std::uint32_t weight);
+
+    std::unordered_map<Model::Endpoint, std::vector<Target>, EndpointHash> byAddress_;
+    std::map<std::string, std::shared_ptr<const ServiceTable>> byName_;
     Model::Generation generation_{};
     std::uint64_t version_ = 0;
 };
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -18,12 +18,28 @@
 
 CAPNP_DECLARE_SCHEMA(e68a0d1838c70904);
 CAPNP_DECLARE_SCHEMA(8a7b94417585a10c);
+CAPNP_DECLARE_SCHEMA(eebfaf4d6e1552f2);
+enum class Role_eebfaf4d6e1552f2: uint16_t {
+  AGENT,
+  BALANCER,
+};
+CAPNP_DECLARE_ENUM(Role, eebfaf4d6e1552f2);
+CAPNP_DECLARE_SCHEMA(d0504e22ba4818dd);
+enum class State_d0504e22ba4818dd: uint16_t {
+  READY,
+  DRAINING,
+  SUSPECT,
+};
+CAPNP_DECLARE_ENUM(State, d0504e22ba4818dd);
+CAPNP_DECLARE_SCHEMA(f5d0aba2e482ed41);
 CAPNP_DECLARE_SCHEMA(c582d2b525dee5a1);
 CAPNP_DECLARE_SCHEMA(81ab242d1fab8f17);
 CAPNP_DECLARE_SCHEMA(e6e9922764aec843);
 CAPNP_DECLARE_SCHEMA(b6fd5222cd40d4ae);
 CAPNP_DECLARE_SCHEMA(c65e1efca9e71c02);
 CAPNP_DECLARE_SCHEMA(f46147015776b983);
+CAPNP_DECLARE_SCHEMA(86f6d724729b3403);
+CAPNP_DECLARE_SCHEMA(eb5634d3707388ab);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -60,6 +76,25 @@
   };
 };
 
+typedef ::capnp::schemas::Role_eebfaf4d6e1552f2 Role;
+
+typedef ::capnp::schemas::State_d0504e22ba4818dd State;
+
+struct Member {
+  Member() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f5d0aba2e482ed41, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -72,15 +107,19 @@
     PROBE,
     PROBE_ANSWER,
     STATE_NOTICE,
+    REPORT,
+    ROSTER,
   };
   struct Packet;
   struct Redirects;
   struct Probe;
   struct ProbeAnswer;
   struct StateNotice;
+  struct Report;
+  struct Roster;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c582d2b525dee5a1, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c582d2b525dee5a1, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -95,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ab242d1fab8f17, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81ab242d1fab8f17, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -110,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6e9922764aec843, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e6e9922764aec843, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b6fd5222cd40d4ae, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b6fd5222cd40d4ae, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c65e1efca9e71c02, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c65e1efca9e71c02, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -155,7 +194,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f46147015776b983, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f46147015776b983, 7, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86f6d724729b3403, 7, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::Roster {
+  Roster() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb5634d3707388ab, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -351,6 +420,142 @@
 };
 #endif  // !CAPNP_LITE
 
+class Member::Reader {
+public:
+  typedef Member Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline  ::uint32_t getAddress() const;
+
+  inline  ::uint16_t getTunnelPort() const;
+
+  inline  ::uint16_t getPeerPort() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::Rpc::Role getRole() const;
+
+  inline  ::Rpc::State getState() const;
+
+  inline  ::uint32_t getSilentMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Member::Builder {
+public:
+  typedef Member Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline  ::uint32_t getAddress();
+  inline void setAddress( ::uint32_t value);
+
+  inline  ::uint16_t getTunnelPort();
+  inline void setTunnelPort( ::uint16_t value);
+
+  inline  ::uint16_t getPeerPort();
+  inline void setPeerPort( ::uint16_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::Rpc::Role getRole();
+  inline void setRole( ::Rpc::Role value);
+
+  inline  ::Rpc::State getState();
+  inline void setState( ::Rpc::State value);
+
+  inline  ::uint32_t getSilentMs();
+  inline void setSilentMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Member::Pipeline {
+public:
+  typedef Member Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -388,6 +593,12 @@
   inline bool isStateNotice() const;
   inline typename StateNotice::Reader getStateNotice() const;
 
+  inline bool isReport() const;
+  inline typename Report::Reader getReport() const;
+
+  inline bool isRoster() const;
+  inline typename Roster::Reader getRoster() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -443,6 +654,14 @@
   inline typename StateNotice::Builder getStateNotice();
   inline typename StateNotice::Builder initStateNotice();
 
+  inline bool isReport();
+  inline typename Report::Builder getReport();
+  inline typename Report::Builder initReport();
+
+  inline bool isRoster();
+  inline typename Roster::Builder getRoster();
+  inline typename Roster::Builder initRoster();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -497,6 +716,12 @@
 
   inline  ::uint8_t getRedirects() const;
 
+  inline  ::uint8_t getRanksBefore() const;
+
+  inline  ::uint32_t getOriginAddress() const;
+
+  inline  ::uint16_t getOriginPort() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -544,6 +769,15 @@
   inline  ::uint8_t getRedirects();
   inline void setRedirects( ::uint8_t value);
 
+  inline  ::uint8_t getRanksBefore();
+  inline void setRanksBefore( ::uint8_t value);
+
+  inline  ::uint32_t getOriginAddress();
+  inline void setOriginAddress( ::uint32_t value);
+
+  inline  ::uint16_t getOriginPort();
+  inline void setOriginPort( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -939,134 +1173,552 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint64_t Hop::Reader::getInstance() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class Datagram::Report::Reader {
+public:
+  typedef Report Reads;
 
-inline  ::uint64_t Hop::Builder::getInstance() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Hop::Builder::setInstance( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t Hop::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t Hop::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Hop::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t Hop::Reader::getAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline bool hasSender() const;
+  inline  ::Rpc::Member::Reader getSender() const;
 
-inline  ::uint32_t Hop::Builder::getAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Hop::Builder::setAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getReportNumber() const;
 
-inline  ::uint16_t Hop::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getWaitingFlows() const;
 
-inline  ::uint16_t Hop::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
-}
-inline void Hop::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getOpenFlows() const;
 
-inline  ::uint32_t FlowEntry::Reader::getCallerAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint32_t getSlots() const;
 
-inline  ::uint32_t FlowEntry::Builder::getCallerAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void FlowEntry::Builder::setCallerAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getAnswerMicros() const;
 
-inline  ::uint32_t FlowEntry::Reader::getServiceAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+  inline  ::uint64_t getKnownMembers() const;
 
-inline  ::uint32_t FlowEntry::Builder::getServiceAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void FlowEntry::Builder::setServiceAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool getWantsRoster() const;
 
-inline  ::uint16_t FlowEntry::Reader::getCallerPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
+  inline bool getLeaves() const;
 
-inline  ::uint16_t FlowEntry::Builder::getCallerPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void FlowEntry::Builder::setCallerPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint16_t FlowEntry::Reader::getServicePort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
+class Datagram::Report::Builder {
+public:
+  typedef Report Builds;
 
-inline  ::uint16_t FlowEntry::Builder::getServicePort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::Rpc::Member::Builder getSender();
+  inline void setSender( ::Rpc::Member::Reader value);
+  inline  ::Rpc::Member::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::Rpc::Member>&& value);
+  inline ::capnp::Orphan< ::Rpc::Member> disownSender();
+
+  inline  ::uint64_t getReportNumber();
+  inline void setReportNumber( ::uint64_t value);
+
+  inline  ::uint32_t getWaitingFlows();
+  inline void setWaitingFlows( ::uint32_t value);
+
+  inline  ::uint32_t getOpenFlows();
+  inline void setOpenFlows( ::uint32_t value);
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint32_t getAnswerMicros();
+  inline void setAnswerMicros( ::uint32_t value);
+
+  inline  ::uint64_t getKnownMembers();
+  inline void setKnownMembers( ::uint64_t value);
+
+  inline bool getWantsRoster();
+  inline void setWantsRoster(bool value);
+
+  inline bool getLeaves();
+  inline void setLeaves(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Rpc::Member::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::Roster::Reader {
+public:
+  typedef Roster Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasAfterName() const;
+  inline  ::capnp::Text::Reader getAfterName() const;
+
+  inline bool getEndsRoster() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::Roster::Builder {
+public:
+  typedef Roster Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasAfterName();
+  inline  ::capnp::Text::Builder getAfterName();
+  inline void setAfterName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAfterName(unsigned int size);
+  inline void adoptAfterName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAfterName();
+
+  inline bool getEndsRoster();
+  inline void setEndsRoster(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::Roster::Pipeline {
+public:
+  typedef Roster Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Hop::Reader::getInstance() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hop::Builder::getInstance() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Hop::Builder::setInstance( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Hop::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Hop::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Hop::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Hop::Reader::getAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Hop::Builder::getAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Hop::Builder::setAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Hop::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Hop::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Hop::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FlowEntry::Reader::getCallerAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowEntry::Builder::getCallerAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FlowEntry::Builder::setCallerAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FlowEntry::Reader::getServiceAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowEntry::Builder::getServiceAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FlowEntry::Builder::setServiceAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t FlowEntry::Reader::getCallerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FlowEntry::Builder::getCallerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FlowEntry::Builder::setCallerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t FlowEntry::Reader::getServicePort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FlowEntry::Builder::getServicePort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FlowEntry::Builder::setServicePort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FlowEntry::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowEntry::Builder::getEpoch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FlowEntry::Builder::setEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Member::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void FlowEntry::Builder::setServicePort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Member::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t FlowEntry::Reader::getEpoch() const {
+inline  ::uint32_t Member::Reader::getAddress() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t FlowEntry::Builder::getEpoch() {
+inline  ::uint32_t Member::Builder::getAddress() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FlowEntry::Builder::setEpoch( ::uint32_t value) {
+inline void Member::Builder::setAddress( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Member::Reader::getTunnelPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getTunnelPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setTunnelPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Member::Reader::getPeerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getPeerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setPeerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Rpc::Role Member::Reader::getRole() const {
+  return _reader.getDataField< ::Rpc::Role>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Rpc::Role Member::Builder::getRole() {
+  return _builder.getDataField< ::Rpc::Role>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setRole( ::Rpc::Role value) {
+  _builder.setDataField< ::Rpc::Role>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::Rpc::State Member::Reader::getState() const {
+  return _reader.getDataField< ::Rpc::State>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Rpc::State Member::Builder::getState() {
+  return _builder.getDataField< ::Rpc::State>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setState( ::Rpc::State value) {
+  _builder.setDataField< ::Rpc::State>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getSilentMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getSilentMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setSilentMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Rpc::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
@@ -1127,6 +1779,9 @@
   _builder.setDataField< ::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<19>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::Packet::Builder(_builder);
 }
@@ -1224,6 +1879,60 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::StateNotice::Builder(_builder);
 }
+inline bool Datagram::Reader::isReport() const {
+  return which() == Datagram::REPORT;
+}
+inline bool Datagram::Builder::isReport() {
+  return which() == Datagram::REPORT;
+}
+inline typename Datagram::Report::Reader Datagram::Reader::getReport() const {
+  KJ_IREQUIRE((which() == Datagram::REPORT),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Report::Reader(_reader);
+}
+inline typename Datagram::Report::Builder Datagram::Builder::getReport() {
+  KJ_IREQUIRE((which() == Datagram::REPORT),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Report::Builder(_builder);
+}
+inline typename Datagram::Report::Builder Datagram::Builder::initReport() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::REPORT);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<352>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<353>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename Datagram::Report::Builder(_builder);
+}
+inline bool Datagram::Reader::isRoster() const {
+  return which() == Datagram::ROSTER;
+}
+inline bool Datagram::Builder::isRoster() {
+  return which() == Datagram::ROSTER;
+}
+inline typename Datagram::Roster::Reader Datagram::Reader::getRoster() const {
+  KJ_IREQUIRE((which() == Datagram::ROSTER),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Roster::Reader(_reader);
+}
+inline typename Datagram::Roster::Builder Datagram::Builder::getRoster() {
+  KJ_IREQUIRE((which() == Datagram::ROSTER),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::Roster::Builder(_builder);
+}
+inline typename Datagram::Roster::Builder Datagram::Builder::initRoster() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::ROSTER);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename Datagram::Roster::Builder(_builder);
+}
 inline bool Datagram::Packet::Reader::hasChain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1314,6 +2023,48 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Datagram::Packet::Reader::getRanksBefore() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Packet::Builder::getRanksBefore() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setRanksBefore( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Packet::Reader::getOriginAddress() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Packet::Builder::getOriginAddress() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setOriginAddress( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Datagram::Packet::Reader::getOriginPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Datagram::Packet::Builder::getOriginPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setOriginPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Redirects::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1599,6 +2350,239 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Report::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Report::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Rpc::Member::Reader Datagram::Report::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::Rpc::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Rpc::Member::Builder Datagram::Report::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Rpc::Member::Pipeline Datagram::Report::Pipeline::getSender() {
+  return  ::Rpc::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Report::Builder::setSender( ::Rpc::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::Rpc::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Rpc::Member::Builder Datagram::Report::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Report::Builder::adoptSender(
+    ::capnp::Orphan< ::Rpc::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::Rpc::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Rpc::Member> Datagram::Report::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::Rpc::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Datagram::Report::Reader::getReportNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Report::Builder::getReportNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setReportNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Report::Reader::getWaitingFlows() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Report::Builder::getWaitingFlows() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setWaitingFlows( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Report::Reader::getOpenFlows() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Report::Builder::getOpenFlows() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setOpenFlows( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Report::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Report::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Report::Reader::getAnswerMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Report::Builder::getAnswerMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setAnswerMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::Report::Reader::getKnownMembers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Report::Builder::getKnownMembers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setKnownMembers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Report::Reader::getWantsRoster() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Report::Builder::getWantsRoster() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setWantsRoster(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Report::Reader::getLeaves() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<353>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Report::Builder::getLeaves() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<353>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setLeaves(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<353>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Roster::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Roster::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Reader Datagram::Roster::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Roster::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Roster::Builder::setMembers( ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Roster::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Roster::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>> Datagram::Roster::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Roster::Reader::hasAfterName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Roster::Builder::hasAfterName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Datagram::Roster::Reader::getAfterName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Datagram::Roster::Builder::getAfterName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Datagram::Roster::Builder::setAfterName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Datagram::Roster::Builder::initAfterName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Roster::Builder::adoptAfterName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Roster::Builder::disownAfterName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Roster::Reader::getEndsRoster() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Roster::Builder::getEndsRoster() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Roster::Builder::setEndsRoster(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 
 CAPNP_END_HEADER
--- a/src/libs/platform/attempt.h
+++ b/src/libs/store/attempt.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
 #include <utility>
 #include <variant>
 
-namespace Platform {
+namespace Store {
 
 /// The value of a call, or why it failed.
 template<typename T>
@@ -27,4 +27,4 @@
         []() -> Result { return FailureKind::Malformed; });
 }
 
-} // namespace Platform
+} // namespace Store
--- a/src/libs/platform/backoff.cpp
+++ b/src/libs/store/backoff.cpp
@@ -1,11 +1,11 @@
-#include "platform/backoff.h"
+#include "store/backoff.h"
 
 #include <pcg_random.hpp>
 
 #include <algorithm>
 #include <random>
 
-namespace Platform {
+namespace Store {
 
 Backoff::Backoff(std::chrono::milliseconds first, std::chrono::milliseconds most,
                  std::uint64_t seed)
@@ -31,4 +31,4 @@
     next_ = first_;
 }
 
-} // namespace Platform
+} // namespace Store
--- a/src/libs/platform/backoff.h
+++ b/src/libs/store/backoff.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <cstdint>
 
-namespace Platform {
+namespace Store {
 
 /// Waits between repeated calls: doubling, with jitter, so that many processes do not come back
 /// to the platform at once. Not thread-safe.
@@ -26,4 +26,4 @@
     std::uint64_t state_;
 };
 
-} // namespace Platform
+} // namespace Store
--- a/src/libs/platform/conditionalwrite.h
+++ b/src/libs/store/conditionalwrite.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/attempt.h"
+#include "store/attempt.h"
 
 #include <functional>
 
-namespace Platform {
+namespace Store {
 
 /// Reads of the platform that one write with an unknown outcome may cost.
 constexpr int MaxReadBacks = 6;
@@ -64,4 +64,4 @@
     return {WriteOutcome::Unknown, {}, FailureKind::OutcomeUnknown};
 }
 
-} // namespace Platform
+} // namespace Store
--- /dev/null
+++ b/src/libs/store/httpcaller.cpp
@@ -0,0 +1,115 @@
+#include "store/httpcaller.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/StreamCopier.h>
+
+#include <netinet/tcp.h>
+
+namespace Store {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+/// Keep-alive probes that find a connection gone silent within three seconds, the shortest bound in
+/// which a configuration must be in force.
+static constexpr int KeepAliveIdleSeconds = 1;
+static constexpr int KeepAliveIntervalSeconds = 1;
+static constexpr int KeepAliveProbes = 2;
+
+static Poco::Timespan timespan(std::chrono::milliseconds time)
+{
+    return Poco::Timespan(std::chrono::microseconds(time).count());
+}
+
+std::optional<FailureKind> failureOf(int status)
+{
+    switch (status) {
+    case HTTPResponse::HTTP_OK:
+    case HTTPResponse::HTTP_CREATED:
+    case HTTPResponse::HTTP_NO_CONTENT:
+        return std::nullopt;
+    case HTTPResponse::HTTP_NOT_FOUND:
+        return FailureKind::NotFound;
+    case HTTPResponse::HTTP_GONE:
+        return FailureKind::TooOld;
+    case HTTPResponse::HTTP_CONFLICT:
+    case HTTPResponse::HTTP_PRECONDITION_FAILED:
+        return FailureKind::Conflict;
+    case HTTPResponse::HTTP_TOO_MANY_REQUESTS:
+    case HTTPResponse::HTTP_SERVICE_UNAVAILABLE:
+        return FailureKind::Overloaded;
+    default:
+        return FailureKind::Malformed;
+    }
+}
+
+void HttpCaller::Session::connect(const Poco::Net::SocketAddress &address)
+{
+    HTTPClientSession::connect(address);
+    socket().setKeepAlive(true);
+    socket().setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    socket().setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    socket().setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+HttpCaller::HttpCaller(const Model::Endpoint &server, std::chrono::milliseconds timeout)
+    : session_(Model::addressText(server.address), server.port)
+    , timeout_(timeout)
+{
+    session_.setKeepAlive(true);
+}
+
+boost::leaf::result<HttpAnswer> HttpCaller::call(const HttpCall &request)
+{
+    if (aborted_)
+        return boost::leaf::new_error(Failure{FailureKind::Unreachable});
+    ++calls_;
+    const std::chrono::milliseconds wait = timeout_ + request.extraWait;
+    bool mayHaveArrived = false;
+    try {
+        HTTPRequest message(request.method, request.path, HTTPRequest::HTTP_1_1);
+        message.setContentLength64(std::int64_t(request.body.size()));
+        message.setContentType("application/json");
+        for (const auto &[name, value] : request.headers)
+            message.set(name, value);
+        // A fresh connection for writes: a reused one may break after the write arrived.
+        if (request.method != HTTPRequest::HTTP_GET)
+            session_.reset();
+        // A connect is bounded by the timeout alone, an answer by the whole wait.
+        const bool isConnected = session_.connected();
+        session_.setTimeout(timespan(isConnected ? wait : timeout_));
+        std::ostream &out = session_.sendRequest(message);
+        mayHaveArrived = true;
+        out << request.body;
+        out.flush();
+        session_.socket().setReceiveTimeout(timespan(wait));
+        HTTPResponse response;
+        std::istream &in = session_.receiveResponse(response);
+        HttpAnswer answer;
+        answer.status = response.getStatus();
+        answer.entityTag = response.get("ETag", "");
+        Poco::StreamCopier::copyToString(in, answer.body);
+        if (!response.getKeepAlive())
+            session_.reset();
+        return answer;
+    } catch (const Poco::Exception &) {
+        session_.reset();
+        return boost::leaf::new_error(
+            Failure{mayHaveArrived ? FailureKind::OutcomeUnknown : FailureKind::Unreachable});
+    }
+}
+
+void HttpCaller::abort()
+{
+    const std::lock_guard guard(abortMutex_);
+    aborted_ = true;
+    try {
+        session_.abort();
+    } catch (const Poco::Exception &) {
+        // The session was not connected.
+    }
+}
+
+} // namespace Store
