--- /dev/null
+++ b/src/libs/store/httpobjectclient.cpp
@@ -0,0 +1,136 @@
+#include "store/httpobjectclient.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/URI.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace Store {
+
+using Poco::Net::HTTPRequest;
+
+static std::string encoded(const std::string &text)
+{
+    std::string result;
+    Poco::URI::encode(text, "?&#=", result);
+    return result;
+}
+
+static std::string entityTag(Version version)
+{
+    return fmt::format("\"{}\"", std::uint64_t(version));
+}
+
+static std::optional<Version> parseEntityTag(std::string_view tag)
+{
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"')
+        return std::nullopt;
+    tag = tag.substr(1, tag.size() - 2);
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(tag.data(), tag.data() + tag.size(), number);
+    if (error != std::errc() || end != tag.data() + tag.size())
+        return std::nullopt;
+    return Version(number);
+}
+
+HttpObjectClient::HttpObjectClient(const Model::Endpoint &platform,
+                                   std::chrono::milliseconds timeout)
+    : caller_(platform, timeout)
+{}
+
+boost::leaf::result<HttpAnswer> HttpObjectClient::call(HttpCall request)
+{
+    BOOST_LEAF_AUTO(answer, caller_.call(request));
+    if (const auto failure = failureOf(answer.status))
+        return boost::leaf::new_error(Failure{*failure});
+    return std::move(answer);
+}
+
+boost::leaf::result<std::string> HttpObjectClient::page(const std::string &path)
+{
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, path, {}, {}, {}}));
+    return std::move(answer.body);
+}
+
+boost::leaf::result<Object> HttpObjectClient::read(const std::string &key)
+{
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, "/v1/objects/" + encoded(key), {}, {}, {}}));
+    const auto version = parseEntityTag(answer.entityTag);
+    if (!version)
+        return boost::leaf::new_error(Failure{FailureKind::Malformed});
+    return Object{key, *version, std::move(answer.body)};
+}
+
+boost::leaf::result<Listing> HttpObjectClient::list(const std::string &prefix,
+                                                    const std::string &path)
+{
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, path + "?prefix=" + encoded(prefix), {}, {}, {}}));
+    try {
+        const auto json = nlohmann::json::parse(answer.body);
+        Listing listing;
+        listing.revision = Revision(json.at("revision").get<std::uint64_t>());
+        for (const auto &object : json.at("objects")) {
+            listing.objects.push_back({object.at("key").get<std::string>(),
+                                       Version(object.at("version").get<std::uint64_t>()),
+                                       object.at("value").dump()});
+        }
+        return listing;
+    } catch (const nlohmann::json::exception &) {
+        return boost::leaf::new_error(Failure{FailureKind::Malformed});
+    }
+}
+
+boost::leaf::result<Version>
+HttpObjectClient::write(const std::string &key, const std::string &value, Precondition precondition)
+{
+    const auto *const ifVersion = std::get_if<IfVersion>(&precondition);
+    std::map<std::string, std::string> condition;
+    if (ifVersion)
+        condition.emplace("If-Match", entityTag(ifVersion->version));
+    else
+        condition.emplace("If-None-Match", "*");
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_PUT, "/v1/objects/" + encoded(key), value,
+                                  std::move(condition), {}}));
+    const auto version = parseEntityTag(answer.entityTag);
+    if (!version)
+        return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
+    return *version;
+}
+
+boost::leaf::result<Version> HttpObjectClient::remove(const std::string &key, Version version)
+{
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_DELETE, "/v1/objects/" + encoded(key), {},
+                                  {{"If-Match", entityTag(version)}}, {}}));
+    const auto deletion = parseEntityTag(answer.entityTag);
+    if (!deletion)
+        return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
+    return *deletion;
+}
+
+boost::leaf::result<Changes> HttpObjectClient::watch(const std::string &prefix, Revision after,
+                                                     std::chrono::milliseconds wait)
+{
+    const std::string path = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}", encoded(prefix),
+                                         std::uint64_t(after), wait.count());
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, path, {}, {}, wait}));
+    try {
+        const auto json = nlohmann::json::parse(answer.body);
+        Changes changes;
+        changes.revision = Revision(json.at("revision").get<std::uint64_t>());
+        for (const auto &entry : json.at("changes")) {
+            Change change{entry.at("key").get<std::string>(),
+                          Version(entry.at("version").get<std::uint64_t>()), std::nullopt};
+            if (!entry.at("value").is_null())
+                change.value = entry.at("value").dump();
+            changes.changes.push_back(std::move(change));
+        }
+        return changes;
+    } catch (const nlohmann::json::exception &) {
+        return boost::leaf::new_error(Failure{FailureKind::Malformed});
+    }
+}
+
+} // namespace Store
--- a/src/libs/platform/httpobjectclient.h
+++ b/src/libs/store/httpobjectclient.h
@@ -1,16 +1,11 @@
 #pragma once
 
 #include "model/endpoint.h"
-#include "platform/objectclient.h"
+#include "store/httpcaller.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
-#include <atomic>
 #include <cstdint>
-#include <memory>
-#include <mutex>
 
-namespace Platform {
+namespace Store {
 
 /// Object API over HTTP/1.1, one connection.
 ///
@@ -41,29 +36,16 @@
     boost::leaf::result<std::string> page(const std::string &path);
 
     /// Ends a call in progress, and every later one, with FailureKind::Unreachable. Thread-safe.
-    void abort();
+    void abort() { caller_.abort(); }
 
     /// Returns the number of calls so far. Thread-safe.
-    std::uint64_t callCount() const { return calls_; }
+    std::uint64_t callCount() const { return caller_.callCount(); }
 
 private:
-    struct Answer
-    {
-        int status = 0;
-        std::string entityTag;
-        std::string body;
-    };
-
-    boost::leaf::result<Answer> call(const std::string &method, const std::string &path,
-                                     const std::string &body, const std::string &conditionName,
-                                     const std::string &conditionValue,
-                                     std::chrono::milliseconds extraWait);
+    /// Makes a call and turns a status other than success into a Failure.
+    boost::leaf::result<HttpAnswer> call(HttpCall request);
 
-    Poco::Net::HTTPClientSession session_;
-    std::chrono::milliseconds timeout_;
-    std::mutex abortMutex_;
-    std::atomic<bool> aborted_ = false;
-    std::atomic<std::uint64_t> calls_ = 0;
+    HttpCaller caller_;
 };
 
-} // namespace Platform
+} // namespace Store
--- a/src/libs/platform/objectclient.h
+++ b/src/libs/store/objectclient.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 /// The platform's object API: versions, conditional updates and watches.
-namespace Platform {
+namespace Store {
 
 /// Version of one object; the platform's revision at its last write.
 enum class Version : std::uint64_t {};
@@ -122,4 +122,4 @@
         } -> std::same_as<boost::leaf::result<Changes>>;
 };
 
-} // namespace Platform
+} // namespace Store
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -36,6 +36,9 @@
     packet.setPasses(header.passes);
     packet.setRedirects(header.redirects);
     packet.setOpensFlow(header.opensFlow);
+    packet.setRanksBefore(header.ranksBefore);
+    packet.setOriginAddress(header.origin.address);
+    packet.setOriginPort(header.origin.port);
 }
 
 static void write(Rpc::Datagram::Builder root, const Redirects &redirects)
@@ -69,6 +72,64 @@
     group.setAskerIncarnation(std::uint64_t(answer.asker));
 }
 
+static void writeMember(Rpc::Member::Builder builder, const Member &member)
+{
+    const Model::Instance &instance = member.instance;
+    builder.setName(instance.name);
+    builder.setService(instance.service);
+    builder.setFailureDomain(instance.failureDomain);
+    builder.setAddress(instance.tunnel.address);
+    builder.setTunnelPort(instance.tunnel.port);
+    builder.setPeerPort(instance.peer.port);
+    builder.setIncarnation(std::uint64_t(instance.incarnation));
+    builder.setRole(member.role == Role::Balancer ? Rpc::Role::BALANCER : Rpc::Role::AGENT);
+    builder.setState(Rpc::State(std::uint16_t(instance.state)));
+    builder.setSilentMs(std::uint32_t(member.silence.count()));
+}
+
+static std::optional<Member> readMember(Rpc::Member::Reader reader)
+{
+    if (reader.getState() > Rpc::State::SUSPECT || reader.getRole() > Rpc::Role::BALANCER)
+        return std::nullopt;
+    Member member;
+    member.instance.name = reader.getName();
+    member.instance.service = reader.getService();
+    member.instance.failureDomain = reader.getFailureDomain();
+    member.instance.tunnel = {reader.getAddress(), reader.getTunnelPort()};
+    member.instance.peer = {reader.getAddress(), reader.getPeerPort()};
+    member.instance.incarnation = Model::Incarnation(reader.getIncarnation());
+    member.instance.state = Model::InstanceState(std::uint16_t(reader.getState()));
+    member.role = reader.getRole() == Rpc::Role::BALANCER ? Role::Balancer : Role::Agent;
+    member.silence = std::chrono::milliseconds(reader.getSilentMs());
+    if (member.instance.name.empty() || !member.instance.tunnel.isValid())
+        return std::nullopt;
+    return member;
+}
+
+static void write(Rpc::Datagram::Builder root, const Report &report)
+{
+    auto group = root.initReport();
+    writeMember(group.initSender(), report.sender);
+    group.setReportNumber(report.number);
+    group.setWaitingFlows(report.waiting);
+    group.setOpenFlows(report.open);
+    group.setSlots(report.slots);
+    group.setAnswerMicros(std::uint32_t(report.answerTime.count()));
+    group.setKnownMembers(report.rosterDigest);
+    group.setWantsRoster(report.wantsRoster);
+    group.setLeaves(report.leaves);
+}
+
+static void write(Rpc::Datagram::Builder root, const RosterPart &part)
+{
+    auto group = root.initRoster();
+    group.setAfterName(part.afterName);
+    group.setEndsRoster(part.isLast);
+    auto members = group.initMembers(unsigned(part.members.size()));
+    for (unsigned index = 0; index < members.size(); ++index)
+        writeMember(members[index], part.members[index]);
+}
+
 std::vector<std::byte> encodeDatagram(const Datagram &datagram)
 {
     std::vector<std::byte> encoded;
@@ -112,6 +173,8 @@
     header.passes = packet.getPasses();
     header.redirects = packet.getRedirects();
     header.opensFlow = packet.getOpensFlow();
+    header.ranksBefore = packet.getRanksBefore();
+    header.origin = {packet.getOriginAddress(), packet.getOriginPort()};
     return header;
 }
 
@@ -126,6 +189,34 @@
     return redirects;
 }
 
+static std::optional<Report> readReport(Rpc::Datagram::Report::Reader group)
+{
+    const auto sender = readMember(group.getSender());
+    if (!sender)
+        return std::nullopt;
+    Report report;
+    report.sender = *sender;
+    report.number = group.getReportNumber();
+    report.waiting = group.getWaitingFlows();
+    report.open = group.getOpenFlows();
+    report.slots = group.getSlots();
+    report.answerTime = std::chrono::microseconds(group.getAnswerMicros());
+    report.rosterDigest = group.getKnownMembers();
+    report.wantsRoster = group.getWantsRoster();
+    report.leaves = group.getLeaves();
+    return report;
+}
+
+static RosterPart readRoster(Rpc::Datagram::Roster::Reader group)
+{
+    RosterPart part{group.getAfterName(), group.getEndsRoster(), {}};
+    for (const auto entry : group.getMembers()) {
+        if (auto member = readMember(entry))
+            part.members.push_back(std::move(*member));
+    }
+    return part;
+}
+
 static std::optional<Datagram> readDatagram(Rpc::Datagram::Reader root)
 {
     Datagram datagram{
@@ -155,6 +246,16 @@
                                                            : Model::InstanceState::Draining};
         return datagram;
     }
+    case Rpc::Datagram::REPORT: {
+        auto report = readReport(root.getReport());
+        if (!report)
+            return std::nullopt;
+        datagram.content = std::move(*report);
+        return datagram;
+    }
+    case Rpc::Datagram::ROSTER:
+        datagram.content = readRoster(root.getRoster());
+        return datagram;
     case Rpc::Datagram::PROBE_ANSWER: {
         const auto answer = root.getProbeAnswer();
         datagram.content = ProbeAnswer{answer.getSequence(), readHop(answer.getTarget()),
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -4,6 +4,7 @@
 #include "routing/routingtable.h"
 #include "tunnel/gre.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -19,6 +20,8 @@
     std::uint8_t passes = 0;    ///< how often agents passed the packet on
     std::uint8_t redirects = 0; ///< how often it followed a redirect
     bool opensFlow = false;
+    std::uint8_t ranksBefore = 0; ///< instances ranked before the chain that were asked already
+    Model::Endpoint origin;       ///< the balancer that learns the flow's owner; may be invalid
 };
 
 /// Counts the owners that a flow has had: 0 while it is half open, 1 with its first owner, and
@@ -64,12 +67,50 @@
     Model::InstanceState state = Model::InstanceState::Suspect;
 };
 
+enum class Role { Agent, Balancer };
+
+/// A process of the system as its peers know it. Balancers have no service.
+struct Member
+{
+    Model::Instance instance;
+    Role role = Role::Agent;
+    std::chrono::milliseconds silence{0}; ///< since the member itself was last heard by anyone
+
+    bool operator==(const Member &) const = default;
+};
+
+/// What a process says of itself, to peers that place work on it or watch over it.
+struct Report
+{
+    Member sender;
+    std::uint64_t number = 0;  ///< grows within one incarnation
+    std::uint32_t waiting = 0; ///< flows with a request that is not answered yet
+    std::uint32_t open = 0;    ///< flows
+    std::uint32_t slots = 0;   ///< requests that the backend server runs at once
+    std::chrono::microseconds answerTime{0}; ///< smoothed, from a request's end to its answer
+    std::uint64_t rosterDigest = 0;
+    bool wantsRoster = false; ///< the receiver sends its roster where the digests differ
+    bool leaves = false;      ///< the sender is gone for good after this report
+};
+
+/// All members that the sender knows of in a range of names, by name.
+struct RosterPart
+{
+    std::string afterName; ///< the range begins behind this name
+    bool isLast = false;   ///< the range has no end; otherwise it ends with the last member
+    std::vector<Member> members;
+};
+
+/// Members that one RosterPart may name, so that it fits a common MTU.
+constexpr std::size_t MaxMembersPerPart = 8;
+
 /// What balancers and agents send each other over UDP.
 struct Datagram
 {
     Model::ServiceId service{};
     Model::Generation generation{};
-    std::variant<PacketHeader, Redirects, Probe, ProbeAnswer, StateNotice> content;
+    std::variant<PacketHeader, Redirects, Probe, ProbeAnswer, StateNotice, Report, RosterPart>
+        content;
 };
 
 /// A datagram as received; \c packet refers to the received bytes.
--- a/src/libs/tunnel/udpsocket.cpp
+++ b/src/libs/tunnel/udpsocket.cpp
@@ -47,6 +47,11 @@
     return {(*buffers_)[index].bytes.data(), messages_[index].msg_len};
 }
 
+std::span<std::byte> ReceiveBatch::writable(std::size_t index)
+{
+    return {(*buffers_)[index].bytes.data(), messages_[index].msg_len};
+}
+
 Model::Endpoint ReceiveBatch::sender(std::size_t index) const
 {
     const sockaddr_in &address = senders_[index];
--- a/src/libs/tunnel/udpsocket.h
+++ b/src/libs/tunnel/udpsocket.h
@@ -31,6 +31,9 @@
     /// Precondition: \a index is below the last result of receive().
     Bytes datagram(std::size_t index) const;
 
+    /// Returns a datagram to be changed in place. Precondition: as for datagram().
+    std::span<std::byte> writable(std::size_t index);
+
     /// Returns the sender of a datagram. Precondition: as for datagram().
     Model::Endpoint sender(std::size_t index) const;
 
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -5,7 +5,7 @@
 #include "control/clusterview.h"
 #include "membership/announcement.h"
 #include "operations/acceptance.h"
-#include "platform/httpobjectclient.h"
+#include "store/httpobjectclient.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -23,7 +23,7 @@
 
 namespace Tool {
 
-using Platform::attempt;
+using Store::attempt;
 
 static constexpr std::chrono::milliseconds CallTimeout{3000};
 static constexpr std::chrono::milliseconds ReadBackPause{300};
@@ -85,7 +85,7 @@
     const auto endpoint = Model::parseEndpoint(FLAGS_platform);
     if (!endpoint)
         return refuse("--platform needs IP:PORT");
-    Platform::HttpObjectClient client(*endpoint, CallTimeout);
+    Store::HttpObjectClient client(*endpoint, CallTimeout);
     return use(client);
 }
 
@@ -114,9 +114,9 @@
                 const auto read =
                     attempt([&] { return client.read(std::string(Membership::ConfigurationKey)); });
                 nlohmann::json before = nlohmann::json::object();
-                if (const auto *object = std::get_if<Platform::Object>(&read))
+                if (const auto *object = std::get_if<Store::Object>(&read))
                     before = nlohmann::json::parse(object->value).at("answers");
-                else if (std::get<Platform::FailureKind>(read) != Platform::FailureKind::NotFound)
+                else if (std::get<Store::FailureKind>(read) != Store::FailureKind::NotFound)
                     return fail("the platform does not answer");
                 const auto after = Configuration::encodeConfiguration(candidate).at("answers");
                 fmt::print("{}\n", nlohmann::json::diff(before, after).dump(2));
@@ -188,7 +188,7 @@
     const auto endpoint = Model::parseEndpoint(address);
     if (!endpoint)
         return nullptr;
-    Platform::HttpObjectClient client(*endpoint, CallTimeout);
+    Store::HttpObjectClient client(*endpoint, CallTimeout);
     const auto page = attempt([&] { return client.page("/state"); });
     const auto *const text = std::get_if<std::string>(&page);
     const auto state = text ? nlohmann::json::parse(*text, nullptr, false) : nlohmann::json();
@@ -241,10 +241,10 @@
     return withPlatform([&](auto &client) {
         const std::string key = Membership::instanceKey(arguments[0]);
         const auto read = attempt([&] { return client.read(key); });
-        const auto *const object = std::get_if<Platform::Object>(&read);
+        const auto *const object = std::get_if<Store::Object>(&read);
         if (!object) {
             const bool isMissing =
-                std::get<Platform::FailureKind>(read) == Platform::FailureKind::NotFound;
+                std::get<Store::FailureKind>(read) == Store::FailureKind::NotFound;
             return isMissing ? refuse("no instance is announced as " + arguments[0])
                              : fail("the platform does not answer");
         }
@@ -258,20 +258,20 @@
             const auto announced = Membership::decodeAnnouncement(found);
             return announced && announced->drainAsked;
         };
-        const auto written = Platform::writeOnce(
-            client, key, value, Platform::IfVersion{object->version}, contains,
+        const auto written = Store::writeOnce(
+            client, key, value, Store::IfVersion{object->version}, contains,
             [](int number) { std::this_thread::sleep_for(ReadBackPause * (number + 1)); });
         switch (written.outcome) {
-        case Platform::WriteOutcome::Written:
+        case Store::WriteOutcome::Written:
             fmt::print("{} drains\n", arguments[0]);
             return ExitCode::Done;
-        case Platform::WriteOutcome::Conflict:
+        case Store::WriteOutcome::Conflict:
             fmt::print(stderr, "gypsumwing: conflict: the announcement changed; try again\n");
             return ExitCode::Conflict;
-        case Platform::WriteOutcome::Unknown:
+        case Store::WriteOutcome::Unknown:
             fmt::print(stderr, "gypsumwing: unknown: the platform did not say; see status\n");
             return ExitCode::Unknown;
-        case Platform::WriteOutcome::Failed:
+        case Store::WriteOutcome::Failed:
             break;
         }
         return fail("the platform does not answer; nothing was changed");
@@ -304,7 +304,7 @@
         return refuse("explain needs two IP:PORT");
     return withPlatform([&](auto &client) {
         const auto listed = attempt([&] { return client.list(""); });
-        const auto *const listing = std::get_if<Platform::Listing>(&listed);
+        const auto *const listing = std::get_if<Store::Listing>(&listed);
         if (!listing)
             return fail("the platform does not answer");
         Control::ClusterView view;
--- a/tests/auto/control/tst_announcementkeeper.cpp
+++ b/tests/auto/control/tst_announcementkeeper.cpp
@@ -3,7 +3,7 @@
 #include "property.h"
 
 using namespace Control;
-using Platform::FailureKind;
+using Store::FailureKind;
 
 namespace {
 
@@ -47,7 +47,7 @@
         }
         std::optional<Model::Instance> value;
         if (const auto *write = std::get_if<WriteAnnouncement>(&step)) {
-            const auto *const ifVersion = std::get_if<Platform::IfVersion>(&write->precondition);
+            const auto *const ifVersion = std::get_if<Store::IfVersion>(&write->precondition);
             const bool holds = ifVersion ? stored_ && ifVersion->version == version_ : !stored_;
             if (!holds)
                 return keeper_->onFailed(now_, FailureKind::Conflict);
@@ -121,7 +121,7 @@
 private:
     void store(const std::optional<Model::Instance> &instance)
     {
-        version_ = Platform::Version(std::uint64_t(version_) + 1);
+        version_ = Store::Version(std::uint64_t(version_) + 1);
         stored_ = instance;
         history_.emplace_back(version_, stored_);
     }
@@ -130,8 +130,8 @@
     std::optional<AnnouncementKeeper> keeper_;
     std::optional<AnnouncementStep> pending_;
     std::optional<Model::Instance> stored_;
-    Platform::Version version_{};
-    std::vector<std::pair<Platform::Version, std::optional<Model::Instance>>> history_;
+    Store::Version version_{};
+    std::vector<std::pair<Store::Version, std::optional<Model::Instance>>> history_;
     bool drainAsked_ = false;
 };
 
--- a/tests/auto/control/tst_clusterview.cpp
+++ b/tests/auto/control/tst_clusterview.cpp
@@ -6,14 +6,14 @@
 
 using namespace Control;
 
-static Platform::Object configurationObject(std::uint64_t generation, std::uint64_t version)
+static Store::Object configurationObject(std::uint64_t generation, std::uint64_t version)
 {
     const std::string value = R"({"generation": )" + std::to_string(generation) + R"(,
         "recentChanges": [], "answers": {"deployment": "test", "failureDomains": ["a"],
         "services": [{"name": "order-desk", "address": "10.40.0.1:80", "answerWithinMs": )"
                               + std::to_string(1000 + generation) + R"(, "slotsPerServer": 3,
         "connectionsPerServer": 10, "longWorkPaths": [], "feedPaths": []}]}})";
-    return {std::string(Membership::ConfigurationKey), Platform::Version(version), value};
+    return {std::string(Membership::ConfigurationKey), Store::Version(version), value};
 }
 
 TEST_GROUP(ClusterView){};
@@ -28,12 +28,12 @@
             15, rc::gen::inRange<std::uint64_t>(1, 30));
         for (const std::uint64_t generation : generations) {
             ++generatedSteps;
-            const Platform::Object object = configurationObject(generation, generation * 2);
+            const Store::Object object = configurationObject(generation, generation * 2);
             greatest = std::max(greatest, generation);
             if (generation % 3 == 0)
-                view.apply(Platform::Listing{Platform::Revision(generation), {object}});
+                view.apply(Store::Listing{Store::Revision(generation), {object}});
             else
-                view.apply(Platform::Changes{Platform::Revision(generation),
+                view.apply(Store::Changes{Store::Revision(generation),
                                              {{object.key, object.version, object.value}}});
             RC_ASSERT(view.table()->generation() == Model::Generation(greatest));
             const auto *const service = view.table()->findByName("order-desk");
@@ -48,16 +48,16 @@
 TEST(ClusterView, MalformedConfigurationLeavesTheLastGoodOneInForce)
 {
     ClusterView view;
-    view.apply(Platform::Listing{Platform::Revision(1), {configurationObject(1, 1)}});
+    view.apply(Store::Listing{Store::Revision(1), {configurationObject(1, 1)}});
     for (const char *value : {"{}", "7", "{\"generation\": 9, \"answers\": {}}", "{\"x\""}) {
-        view.apply(Platform::Changes{Platform::Revision(2),
-                                     {{"configuration", Platform::Version(2), value}}});
+        view.apply(Store::Changes{Store::Revision(2),
+                                     {{"configuration", Store::Version(2), value}}});
     }
     CHECK_TRUE(view.table()->generation() == Model::Generation(1));
     CHECK_EQUAL(4u, view.refusedConfigurations());
 }
 
-static Platform::Change announcementOf(Model::InstanceState state, std::uint64_t version)
+static Store::Change announcementOf(Model::InstanceState state, std::uint64_t version)
 {
     Model::Instance instance;
     instance.name = "agent-1";
@@ -67,7 +67,7 @@
     instance.peer = {0x7f000001, 2};
     instance.incarnation = Model::Incarnation(5);
     instance.state = state;
-    return {Membership::instanceKey("agent-1"), Platform::Version(version),
+    return {Membership::instanceKey("agent-1"), Store::Version(version),
             Membership::encodeAnnouncement(instance)};
 }
 
@@ -83,11 +83,11 @@
     const Tunnel::StateNotice suspect{Model::instanceId("agent-1"), Model::Incarnation(5),
                                       InstanceState::Suspect};
     ClusterView view;
-    view.apply(Platform::Listing{Platform::Revision(1), {configurationObject(1, 1)}});
-    view.apply(Platform::Changes{Platform::Revision(2), {announcementOf(InstanceState::Ready, 2)}});
+    view.apply(Store::Listing{Store::Revision(1), {configurationObject(1, 1)}});
+    view.apply(Store::Changes{Store::Revision(2), {announcementOf(InstanceState::Ready, 2)}});
     CHECK_TRUE(view.apply(now, suspect));
     CHECK_TRUE(stateIn(view) == InstanceState::Suspect);
-    view.apply(Platform::Changes{Platform::Revision(3), {announcementOf(InstanceState::Ready, 3)}});
+    view.apply(Store::Changes{Store::Revision(3), {announcementOf(InstanceState::Ready, 3)}});
     CHECK_TRUE(stateIn(view) == InstanceState::Ready);
     view.apply(now, suspect);
     CHECK_FALSE(view.expireNotices(now + NoticeLifetime / 2));
@@ -98,9 +98,9 @@
 TEST(ClusterView, NoticeOfAnotherIncarnationIsIgnored)
 {
     ClusterView view;
-    view.apply(Platform::Listing{Platform::Revision(1), {configurationObject(1, 1)}});
+    view.apply(Store::Listing{Store::Revision(1), {configurationObject(1, 1)}});
     view.apply(
-        Platform::Changes{Platform::Revision(2), {announcementOf(Model::InstanceState::Ready, 2)}});
+        Store::Changes{Store::Revision(2), {announcementOf(Model::InstanceState::Ready, 2)}});
     CHECK_FALSE(view.apply(
         {}, {Model::instanceId("agent-1"), Model::Incarnation(4), Model::InstanceState::Suspect}));
 }
@@ -110,12 +110,12 @@
     using Model::InstanceState;
     const auto announced = announcementOf(InstanceState::Ready, 2);
     ClusterView view;
-    view.apply(Platform::Listing{
-        Platform::Revision(2),
+    view.apply(Store::Listing{
+        Store::Revision(2),
         {configurationObject(1, 1), {announced.key, announced.version, *announced.value}}});
     view.apply({}, {Model::instanceId("agent-1"), Model::Incarnation(5), InstanceState::Suspect});
     CHECK_TRUE(stateIn(view) == InstanceState::Suspect);
-    view.apply(Platform::Listing{Platform::Revision(3),
-                                 {{announced.key, Platform::Version(3), *announced.value}}});
+    view.apply(Store::Listing{Store::Revision(3),
+                                 {{announced.key, Store::Version(3), *announced.value}}});
     CHECK_TRUE(stateIn(view) == InstanceState::Ready);
 }
--- a/tests/auto/control/tst_watchpolicy.cpp
+++ b/tests/auto/control/tst_watchpolicy.cpp
@@ -3,8 +3,8 @@
 #include "property.h"
 
 using namespace Control;
-using Platform::FailureKind;
-using Platform::Revision;
+using Store::FailureKind;
+using Store::Revision;
 
 TEST_GROUP(WatchPolicy){};
 
--- a/tests/auto/membership/tst_instanceregistry.cpp
+++ b/tests/auto/membership/tst_instanceregistry.cpp
@@ -16,7 +16,7 @@
     void write(std::size_t index, bool isDeletion)
     {
         const std::string name = "agent-" + std::to_string(index % 5);
-        Platform::Change change{instanceKey(name), Platform::Version(++revision_), std::nullopt};
+        Store::Change change{instanceKey(name), Store::Version(++revision_), std::nullopt};
         if (!isDeletion) {
             Model::Instance instance;
             instance.name = name;
@@ -37,7 +37,7 @@
     {
         if (history_.empty())
             return;
-        const Platform::Change &change = history_[index % history_.size()];
+        const Store::Change &change = history_[index % history_.size()];
         const auto before = registry_.versionOf(nameOf(change));
         registry_.apply(change);
         RC_ASSERT(registry_.versionOf(nameOf(change)) >= before);
@@ -48,13 +48,13 @@
     void hearListing(std::size_t index)
     {
         const std::size_t revision = revision_ == 0 ? 0 : index % (revision_ + 1);
-        std::map<std::string, Platform::Change> latest;
-        for (const Platform::Change &change : history_) {
+        std::map<std::string, Store::Change> latest;
+        for (const Store::Change &change : history_) {
             if (std::size_t(change.version) <= revision)
                 latest[change.key] = change;
         }
-        Platform::Listing listing;
-        listing.revision = Platform::Revision(revision);
+        Store::Listing listing;
+        listing.revision = Store::Revision(revision);
         for (const auto &[key, change] : latest) {
             if (change.value)
                 listing.objects.push_back({key, change.version, *change.value});
@@ -72,13 +72,13 @@
     }
 
 private:
-    static std::string nameOf(const Platform::Change &change)
+    static std::string nameOf(const Store::Change &change)
     {
         return change.key.substr(InstancePrefix.size());
     }
 
     std::size_t revision_ = 0;
-    std::vector<Platform::Change> history_;
+    std::vector<Store::Change> history_;
     std::map<std::string, Model::Instance> truth_;
     InstanceRegistry registry_;
 };
@@ -131,9 +131,9 @@
     instance.tunnel = {0x7f000001, 1};
     instance.peer = {0x7f000001, 2};
     InstanceRegistry registry;
-    registry.apply(Platform::Change{instanceKey("agent-1"), Platform::Version(1),
+    registry.apply(Store::Change{instanceKey("agent-1"), Store::Version(1),
                                     encodeAnnouncement(instance)});
-    registry.apply(Platform::Change{instanceKey("agent-1"), Platform::Version(2), "{\"x\": 1}"});
+    registry.apply(Store::Change{instanceKey("agent-1"), Store::Version(2), "{\"x\": 1}"});
     CHECK_TRUE(registry.find("agent-1") == instance);
     CHECK_EQUAL(1u, registry.malformedCount());
 }
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -5,8 +5,8 @@
 #include <map>
 
 using namespace Operations;
-using Platform::Failure;
-using Platform::FailureKind;
+using Store::Failure;
+using Store::FailureKind;
 
 namespace {
 
@@ -29,7 +29,7 @@
 class FakePlatform
 {
 public:
-    boost::leaf::result<Platform::Object> read(const std::string &key)
+    boost::leaf::result<Store::Object> read(const std::string &key)
     {
         interfere();
         if (readsFail_)
@@ -38,34 +38,34 @@
         if (history_.size() == age)
             return boost::leaf::new_error(Failure{FailureKind::NotFound});
         const std::size_t position = history_.size() - 1 - age;
-        return Platform::Object{key, Platform::Version(position + 1), history_[position]};
+        return Store::Object{key, Store::Version(position + 1), history_[position]};
     }
 
-    boost::leaf::result<Platform::Version> write(const std::string &, const std::string &value,
-                                                 Platform::Precondition precondition)
+    boost::leaf::result<Store::Version> write(const std::string &, const std::string &value,
+                                                 Store::Precondition precondition)
     {
         interfere();
         if (writesFail_)
             return boost::leaf::new_error(Failure{FailureKind::Unreachable});
-        if (Platform::versionBefore(precondition) != Platform::Version(history_.size()))
+        if (Store::versionBefore(precondition) != Store::Version(history_.size()))
             return boost::leaf::new_error(Failure{FailureKind::Conflict});
         if (losesWrite_)
             return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
         history_.push_back(value);
         if (losesAnswer_)
             return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
-        return Platform::Version(history_.size());
+        return Store::Version(history_.size());
     }
 
-    boost::leaf::result<Platform::Listing> list(const std::string &) { return Platform::Listing{}; }
-    boost::leaf::result<Platform::Version> remove(const std::string &, Platform::Version version)
+    boost::leaf::result<Store::Listing> list(const std::string &) { return Store::Listing{}; }
+    boost::leaf::result<Store::Version> remove(const std::string &, Store::Version version)
     {
         return version;
     }
-    boost::leaf::result<Platform::Changes> watch(const std::string &, Platform::Revision,
+    boost::leaf::result<Store::Changes> watch(const std::string &, Store::Revision,
                                                  std::chrono::milliseconds)
     {
-        return Platform::Changes{};
+        return Store::Changes{};
     }
 
     void interfere()
@@ -93,7 +93,7 @@
     bool writesFail_ = false;
 };
 
-static_assert(Platform::ObjectClient<FakePlatform>);
+static_assert(Store::ObjectClient<FakePlatform>);
 
 bool tookEffect(const FakePlatform &platform, const std::string &changeId)
 {
@@ -122,7 +122,7 @@
             platform.writesFail_ = *rc::gen::inRange(0, 8) == 0;
             platform.staleness_ = *rc::gen::inRange(0, 5) == 0 ? 1 : 0;
             platform.interference_ = *rc::gen::inRange(0, 4) == 0 ? 1 : 0;
-            const int recovery = *rc::gen::inRange(0, Platform::MaxReadBacks + 2);
+            const int recovery = *rc::gen::inRange(0, Store::MaxReadBacks + 2);
             const std::string changeId = "change-" + std::to_string(number);
             const auto result =
                 accept(platform, candidateOf(number), std::nullopt, changeId, [&](int readBack) {
