Callers of flows that nobody owns are told at once

Cause: after a loss of power, packets of flows that ended with their backend servers were handed round until the caller's deadline; the roster never settled, since balancers known only through others were suspect and got no reports themselves. Ruled out: load (packets came back within 6 ms).

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -28,9 +28,13 @@
 /// How long a flow without a packet is remembered; longer than any idle timeout of the deployments.
 static constexpr std::chrono::seconds IdleLimit{60};
 
-/// Time after the start in which the roster may still miss an owner, so that no caller is told that
-/// its flow is gone: seeds are asked several times in it.
-static constexpr std::chrono::seconds SettlingTime{2};
+/// Time without a change of the roster after which it misses no owner that runs, so that a caller
+/// may be told that its flow is gone: two balancers were asked for theirs in it.
+static constexpr std::chrono::milliseconds SettlingTime{2 * Membership::ReportInterval};
+
+/// How long an ended flow is remembered, for copies of its last packets: a caller that misses an
+/// acknowledgement sends again after 200 ms, 400 ms, 800 ms and then every 1.6 s.
+static constexpr std::chrono::seconds EndedLinger{10};
 
 /// Flows that one backend server may hold, as the services' connections are bounded.
 static constexpr std::size_t MaxOpenFlows = 2000;
@@ -106,15 +110,34 @@
         return SendOn{{service_, {}, passOn->header}, next.tunnel};
     }
     const auto cause = std::get<Flows::Drop>(decision.verdict).cause;
-    return cause == Flows::DropCause::NoOwner ? searchOn(header, packet) : AgentVerdict(cause);
+    return cause == Flows::DropCause::NoOwner ? searchOn(now, header, packet) : AgentVerdict(cause);
 }
 
-AgentVerdict AgentCore::searchOn(const Tunnel::PacketHeader &header,
+AgentVerdict AgentCore::searchOn(TimePoint now, const Tunnel::PacketHeader &header,
                                  const Tunnel::TcpPacket &packet)
 {
     if (const auto onward = Flows::continueSearch(*table_, header, packet.flow))
         return SendOn{{service_, {}, *onward}, onward->chain[0].tunnel};
-    return Flows::DropCause::NoOwner;
+    if (packet.rst || packet.opensFlow() || !isViewWhole(now))
+        return Flows::DropCause::NoOwner;
+    return ResetFlow{packet.flow, packet.acknowledgement};
+}
+
+/// Whether all instances that may own a flow of the service were known and able to say so.
+bool AgentCore::isViewWhole(TimePoint now) const
+{
+    if (!viewChanged_ || now - *viewChanged_ < SettlingTime)
+        return false;
+    const auto &instances = table_->instances();
+    return std::none_of(instances.begin(), instances.end(), [](const Model::Instance &instance) {
+        return instance.state == Model::InstanceState::Suspect;
+    });
+}
+
+void AgentCore::noteEnded(TimePoint now, FlowTrack &track)
+{
+    if (track.callerEnded && track.backendEnded && track.ended == TimePoint())
+        track.ended = now;
 }
 
 AgentVerdict AgentCore::deliver(TimePoint now, const Tunnel::PacketHeader &header,
@@ -131,6 +154,7 @@
         FlowTrack &track = tracks_[packet.flow];
         track.acknowledgement = packet.acknowledgement;
         track.callerEnded |= packet.fin || packet.rst;
+        noteEnded(now, track);
         const bool wasSearched = header.passes > 0 && header.origin.isValid();
         if (wasSearched && now - track.lastOriginNotice >= OriginNoticeInterval) {
             track.lastOriginNotice = now;
@@ -160,6 +184,7 @@
         if (const auto track = tracks_.find(packet.flow); track != tracks_.end()) {
             track->second.backendEnded = true;
             track->second.callerEnded |= packet.rst;
+            noteEnded(now, track->second);
         }
     }
     return SendToCaller{packet.flow.caller};
@@ -252,8 +277,12 @@
 void AgentCore::onDatagram(TimePoint now, const Tunnel::Datagram &datagram)
 {
     if (const auto *part = std::get_if<Tunnel::RosterPart>(&datagram.content)) {
-        if (roster_.onPart(now, *part))
+        const bool isFirst = !viewChanged_;
+        if (roster_.onPart(now, *part) || isFirst) {
+            viewChanged_ = now;
             rebuild();
+
+        }
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         if (datagram.service == service_)
             director_.onRedirects(now, redirects->owner, redirects->flows);
@@ -307,7 +336,7 @@
             forgetFlow(flow);
         std::vector<Model::FlowKey> ended;
         for (const auto &[flow, track] : tracks_) {
-            if (track.callerEnded && track.backendEnded)
+            if (track.ended != TimePoint() && now - track.ended >= EndedLinger)
                 ended.push_back(flow);
         }
         for (const Model::FlowKey &flow : ended)
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -131,11 +131,15 @@
         TimePoint lastOriginNotice;
         bool callerEnded = false;
         bool backendEnded = false;
+        TimePoint ended; ///< when both had
     };
 
     AgentVerdict act(TimePoint now, const Flows::Decision &decision,
                      const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
-    AgentVerdict searchOn(const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
+    AgentVerdict searchOn(TimePoint now, const Tunnel::PacketHeader &header,
+                          const Tunnel::TcpPacket &packet);
+    bool isViewWhole(TimePoint now) const;
+    void noteEnded(TimePoint now, FlowTrack &track);
     AgentVerdict deliver(TimePoint now, const Tunnel::PacketHeader &header,
                          const Tunnel::TcpPacket &packet);
     Flows::Room room(TimePoint now);
@@ -159,6 +163,7 @@
     std::optional<BackendBeat> backend_;
     bool hasLeft_ = false;
     TimePoint started_;
+    std::optional<TimePoint> viewChanged_; ///< the latest change of the roster by a balancer
     TimePoint lastBackendSign_;   ///< the latest packet or beat of the backend server
     std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
     std::map<Model::Endpoint, std::vector<Tunnel::ClaimedFlow>> claims_;
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -131,13 +131,14 @@
     }
     Routing::Chain chain;
     if (const FlowCache::Entry *const known = cache_.find(now, packet.flow)) {
-        chain = known->agents;
         for (const auto *const table : table_->tablesAt(packet.flow.service)) {
             if (table->id() == known->service)
                 service = table;
         }
-        if (service->id() != known->service)
-            chain = {};
+        for (const Routing::Hop &agent : known->agents) {
+            if (service->runs(agent.instance))
+                chain.append(agent);
+        }
     }
     appendOthers(chain, service->chainFor(hash, Routing::PacketKind::OfFlow));
     return send(service->id(), chain, false);
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -65,10 +65,14 @@
 void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict)
 {
     const auto *const sendOn = std::get_if<SendOn>(&verdict);
+    const auto *const cause = std::get_if<Flows::DropCause>(&verdict);
+    const std::string outcome = sendOn  ? hopText(*sendOn)
+                                : cause ? Flows::dropCauseText(*cause)
+                                        : "reset";
     logDecisionLine(Level::Info, "packet-returned",
                     {{"flow", Model::flowText(packet.flow)},
                      {"kind", kindText(packet)},
-                     {"agent", sendOn ? hopText(*sendOn) : "none"}});
+                     {"outcome", outcome}});
 }
 
 void logReset(const ResetFlow &reset, const char *cause)
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -47,7 +47,7 @@
     const auto known = entries_.find(name);
     if (known == entries_.end()) {
         left_.erase(name);
-        entries_[name] = {member, now, false, report.number};
+        entries_[name] = {member, now, false, report.number, {}};
         return true;
     }
     Entry &entry = known->second;
@@ -59,7 +59,7 @@
     if (isLate || isOvertaken)
         return false;
     const bool changed = entry.isSuspect || entry.member.instance != member.instance;
-    entry = {member, now, false, report.number};
+    entry = {member, now, false, report.number, {}};
     return changed;
 }
 
@@ -73,9 +73,11 @@
     Entry &entry = known->second;
     const TimePoint heard = now - member.silence;
     if (isNew) {
-        entry = {member, heard, false, 0};
+        // A balancer places no work on a member that it never heard itself.
+        entry = {member, heard, isAuthority(), 0, {}};
         return true;
     }
+    entry.omittedBy.clear();
     if (!isAuthority()) {
         const bool changed = entry.member.instance != member.instance;
         entry.member = member;
@@ -86,29 +88,46 @@
     entry.lastHeard = std::max(entry.lastHeard, heard);
     if (member.instance.incarnation == entry.member.instance.incarnation)
         return false;
-    entry = {member, heard, false, 0};
+    entry = {member, heard, true, 0, {}};
     return true;
 }
 
 bool Roster::onPart(TimePoint now, const Tunnel::RosterPart &part)
 {
     bool changed = false;
-    std::map<std::string, const Tunnel::Member *> listed;
+    std::set<std::string> listed;
     for (const Tunnel::Member &member : part.members) {
         if (member.instance.name == self_.instance.name)
             continue;
-        listed[member.instance.name] = &member;
+        listed.insert(member.instance.name);
         changed |= addRelayed(now, member);
     }
-    if (isAuthority())
-        return changed;
+    return isAuthority() ? changed : removeOmitted(part, listed) || changed;
+}
+
+bool Roster::removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed)
+{
     const std::string lastName = part.members.empty() ? "" : part.members.back().instance.name;
-    const auto erased = std::erase_if(entries_, [&](const auto &entry) {
-        const bool isInRange = entry.first > part.afterName
-                               && (part.isLast || entry.first <= lastName);
-        return isInRange && !listed.contains(entry.first);
-    });
-    return changed || erased > 0;
+    const auto needed = std::min(OmissionsUntilGone, balancers().size());
+    bool removed = false;
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        auto &[name, known] = *entry;
+        const bool isInRange = name > part.afterName && (part.isLast || name <= lastName);
+        if (isInRange && !listed.contains(name))
+            known.omittedBy.insert(part.keeper);
+        const bool isGone = !known.omittedBy.empty() && known.omittedBy.size() >= needed;
+        removed |= isGone;
+        entry = isGone ? entries_.erase(entry) : std::next(entry);
+    }
+    return removed;
+}
+
+/// Silence after which a balancer forgets \a member.
+static std::chrono::milliseconds silenceLimit(const Tunnel::Member &member)
+{
+    const bool isLost = member.role == Tunnel::Role::Agent
+                        && member.instance.state != Model::InstanceState::Suspect;
+    return isLost ? LostSilence : std::chrono::milliseconds(ForgetSilence);
 }
 
 bool Roster::expire(TimePoint now)
@@ -117,12 +136,12 @@
         return false;
     bool changed = false;
     for (auto &[name, entry] : entries_) {
-        const bool isSuspect = now - entry.lastHeard >= SuspectSilence;
+        const bool isSuspect = entry.isSuspect || now - entry.lastHeard >= SuspectSilence;
         changed |= isSuspect != entry.isSuspect;
         entry.isSuspect = isSuspect;
     }
     changed |= std::erase_if(entries_, [now](const auto &entry) {
-                   return now - entry.second.lastHeard >= ForgetSilence;
+                   return now - entry.second.lastHeard >= silenceLimit(entry.second.member);
                }) > 0;
     std::erase_if(left_,
                   [now](const auto &entry) { return now - entry.second.since >= LeftLifetime; });
@@ -152,7 +171,7 @@
 {
     std::vector<Model::Instance> balancers;
     for (const auto &[name, entry] : entries_) {
-        if (entry.member.role == Tunnel::Role::Balancer && !entry.isSuspect)
+        if (entry.member.role == Tunnel::Role::Balancer)
             balancers.push_back(entry.member.instance);
     }
     return balancers;
@@ -197,12 +216,14 @@
 std::vector<Tunnel::RosterPart> Roster::partsFor(TimePoint now, const Tunnel::Member &reader) const
 {
     std::vector<Tunnel::RosterPart> parts(1);
+    parts.back().keeper = self_.instance.name;
     for (Tunnel::Member &member : viewOf(reader)) {
         if (const auto entry = entries_.find(member.instance.name); entry != entries_.end())
             member.silence = std::chrono::duration_cast<std::chrono::milliseconds>(
                 now - entry->second.lastHeard);
         if (parts.back().members.size() == Tunnel::MaxMembersPerPart) {
             Tunnel::RosterPart next;
+            next.keeper = self_.instance.name;
             next.afterName = parts.back().members.back().instance.name;
             parts.push_back(std::move(next));
         }
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,9 +17,19 @@
 /// Silence after which a member gets no new work: three reports lost or late.
 constexpr std::chrono::milliseconds SuspectSilence{3 * ReportInterval};
 
-/// Silence after which a member counts as gone: longer than a restart takes.
+/// Silence after which an agent that said nothing of an end counts as lost, with its backend server:
+/// five reports missed. It lies below the shortest deadline of a request, 2 s, so that a caller that
+/// may repeat its request is told in time.
+constexpr std::chrono::milliseconds LostSilence{5 * ReportInterval};
+
+/// Silence after which a member that said that it stops, or a balancer, counts as gone: longer than
+/// a restart takes.
 constexpr std::chrono::seconds ForgetSilence{8};
 
+/// Balancers that must leave a member out of their view before an agent does so too: one alone may
+/// be cut off from it.
+constexpr std::size_t OmissionsUntilGone = 2;
+
 /// How long what others still say of a member that left is ignored: longer than ForgetSilence, so
 /// that nobody has it in a roster any more.
 constexpr std::chrono::seconds LeftLifetime{20};
@@ -51,7 +62,8 @@
     /// Returns the agents, suspect ones with that state.
     std::vector<Model::Instance> agents() const;
 
-    /// Returns the balancers that are not suspect.
+    /// Returns the balancers, suspect ones too: one that was only heard of is told of this process,
+    /// and answers.
     std::vector<Model::Instance> balancers() const;
 
     /// Whether a member that is not suspect has its tunnel at \a address.
@@ -73,6 +85,7 @@
         TimePoint lastHeard;
         bool isSuspect = false;
         std::uint64_t number = 0; ///< of the latest report heard from the member itself
+        std::set<std::string> omittedBy; ///< balancers that left it out, on an agent
     };
 
     struct Left
@@ -83,6 +96,7 @@
 
     std::vector<Tunnel::Member> viewOf(const Tunnel::Member &reader) const;
     bool addRelayed(TimePoint now, const Tunnel::Member &member);
+    bool removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed);
     bool isAuthority() const { return self_.role == Tunnel::Role::Balancer; }
     bool remove(TimePoint now, const std::string &name, Model::Incarnation incarnation);
 
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -191,6 +191,13 @@
     return chain;
 }
 
+bool ServiceTable::runs(Model::InstanceId instance) const
+{
+    const auto known = std::find(ids_.begin(), ids_.end(), instance);
+    return known != ids_.end()
+           && instances_[std::size_t(known - ids_.begin())].state != Model::InstanceState::Suspect;
+}
+
 ServiceTable::Continuation ServiceTable::chainAfter(std::uint64_t flowHash, const Chain &asked,
                                                     std::size_t first) const
 {
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -74,6 +74,9 @@
     /// Returns the chain for a packet of the flow with \a flowHash; empty if none can take it.
     Chain chainFor(std::uint64_t flowHash, PacketKind kind) const;
 
+    /// Whether \a instance is one of the service's and not suspect.
+    bool runs(Model::InstanceId instance) const;
+
     /// Instances in the order of their rank, and where a search among them goes on.
     struct Continuation
     {
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -91,6 +91,7 @@
       members @29 :List(Member); # by name, without gaps between afterName and the last of them
       afterName @30 :Text;
       endsRoster @31 :Bool;      # no member follows the last one
+      rosterOf @32 :Text;        # the balancer that keeps it
     }
   }
 }
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -119,7 +119,7 @@
   struct Roster;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c582d2b525dee5a1, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c582d2b525dee5a1, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -134,7 +134,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81ab242d1fab8f17, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(81ab242d1fab8f17, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6e9922764aec843, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e6e9922764aec843, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -164,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b6fd5222cd40d4ae, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b6fd5222cd40d4ae, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -179,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c65e1efca9e71c02, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c65e1efca9e71c02, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -194,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f46147015776b983, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f46147015776b983, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86f6d724729b3403, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(86f6d724729b3403, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -224,7 +224,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb5634d3707388ab, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eb5634d3707388ab, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1320,6 +1320,9 @@
 
   inline bool getEndsRoster() const;
 
+  inline bool hasRosterOf() const;
+  inline  ::capnp::Text::Reader getRosterOf() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1365,6 +1368,13 @@
   inline bool getEndsRoster();
   inline void setEndsRoster(bool value);
 
+  inline bool hasRosterOf();
+  inline  ::capnp::Text::Builder getRosterOf();
+  inline void setRosterOf( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRosterOf(unsigned int size);
+  inline void adoptRosterOf(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRosterOf();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1931,6 +1941,7 @@
   _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename Datagram::Roster::Builder(_builder);
 }
 inline bool Datagram::Packet::Reader::hasChain() const {
@@ -2583,6 +2594,40 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Roster::Reader::hasRosterOf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Roster::Builder::hasRosterOf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Datagram::Roster::Reader::getRosterOf() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Datagram::Roster::Builder::getRosterOf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Datagram::Roster::Builder::setRosterOf( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Datagram::Roster::Builder::initRosterOf(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Roster::Builder::adoptRosterOf(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Roster::Builder::disownRosterOf() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 
 CAPNP_END_HEADER
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -123,6 +123,7 @@
 static void write(Rpc::Datagram::Builder root, const RosterPart &part)
 {
     auto group = root.initRoster();
+    group.setRosterOf(part.keeper);
     group.setAfterName(part.afterName);
     group.setEndsRoster(part.isLast);
     auto members = group.initMembers(unsigned(part.members.size()));
@@ -209,7 +210,7 @@
 
 static RosterPart readRoster(Rpc::Datagram::Roster::Reader group)
 {
-    RosterPart part{group.getAfterName(), group.getEndsRoster(), {}};
+    RosterPart part{group.getRosterOf(), group.getAfterName(), group.getEndsRoster(), {}};
     for (const auto entry : group.getMembers()) {
         if (auto member = readMember(entry))
             part.members.push_back(std::move(*member));
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -96,6 +96,7 @@
 /// All members that the sender knows of in a range of names, by name.
 struct RosterPart
 {
+    std::string keeper;    ///< the balancer whose view it is
     std::string afterName; ///< the range begins behind this name
     bool isLast = false;   ///< the range has no end; otherwise it ends with the last member
     std::vector<Member> members;
