--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -39,9 +39,14 @@
 /// Flows that one backend server may hold, as the services' connections are bounded.
 static constexpr std::size_t MaxOpenFlows = 2000;
 
-/// Waiting requests per slot up to which an agent takes a new flow itself instead of offering it
-/// to the next of its chain: one running and one queued behind it.
-static constexpr std::uint32_t WaitingPerSlot = 2;
+/// Waiting requests beyond the slots up to which an agent takes a new flow itself, instead of offering
+/// it to the next of its chain, and up to which it admits callers that are late already: enough that
+/// no slot idles during a handshake.
+static constexpr std::uint32_t SpareWaiting = 1;
+
+/// Waiting requests per slot from which an agent takes no new flow at all. One more would wait for
+/// about half of the tightest latency objective, 120 ms at 20 to 30 ms a request.
+static constexpr std::uint32_t MostWaitingPerSlot = 2;
 
 const char *beatOutcomeText(BeatOutcome outcome)
 {
@@ -80,11 +85,15 @@
     return backend_ && !backend_->isDraining && !hasLeft_ && !isSilent;
 }
 
-Flows::Room AgentCore::room(TimePoint now)
+Flows::Room AgentCore::room(TimePoint now, const Tunnel::TcpPacket &packet)
 {
     const std::uint32_t slots = backend_ ? std::max(1u, backend_->slots) : 1;
-    return {isAccepting(now), meter_.waiting(now) < WaitingPerSlot * slots,
-            director_.openCount() < MaxOpenFlows};
+    const std::uint32_t waiting = meter_.waiting(now);
+    const bool hasSpare = waiting < slots + SpareWaiting;
+    // Later copies are late already; first ones may still be in time.
+    const bool mayWait = WaitingRoom::isFirstCopy(packet) && waiting < MostWaitingPerSlot * slots;
+    return {isAccepting(now), hasSpare,
+            (hasSpare || mayWait) && director_.openCount() < MaxOpenFlows};
 }
 
 AgentVerdict AgentCore::onCallerPacket(TimePoint now, Model::ServiceId service,
@@ -92,7 +101,7 @@
                                        const Tunnel::TcpPacket &packet)
 {
     const bool wasOwned = director_.owns(packet.flow);
-    const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now));
+    const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now, packet));
     if (!wasOwned && director_.owns(packet.flow))
         claimAtRegistrar(packet.flow);
     return act(now, decision, header, packet);
@@ -110,6 +119,9 @@
         return SendOn{{service_, {}, passOn->header}, next.tunnel};
     }
     const auto cause = std::get<Flows::Drop>(decision.verdict).cause;
+    const bool isFull = cause == Flows::DropCause::NoRoom && isAccepting(now);
+    if (isFull && waitingRoom_.hold(now, header, packet))
+        return HoldPacket{};
     return cause == Flows::DropCause::NoOwner ? searchOn(now, header, packet) : AgentVerdict(cause);
 }
 
@@ -145,6 +157,9 @@
 {
     if (packet.opensFlow()) {
         meter_.onOpening(now, packet.flow);
+        // The balancer sends the next packets to the agent that it offered the flow to.
+        if (header.passes > 0 && header.origin.isValid())
+            claims_[header.origin].push_back({packet.flow, Tunnel::Epoch(0)});
         if (!unansweredSyn_)
             unansweredSyn_ = now;
     } else if (packet.payloadBytes > 0) {
@@ -327,6 +342,41 @@
     return report;
 }
 
+std::vector<AdmittedFlow> AgentCore::takeAdmitted(TimePoint now)
+{
+    std::vector<AdmittedFlow> admitted;
+    while (waitingRoom_.size() > 0 && isAccepting(now)) {
+        const std::uint32_t slots = std::max(1u, backend_->slots);
+        const std::uint32_t waiting = meter_.waiting(now);
+        if (waiting >= MostWaitingPerSlot * slots)
+            break;
+        const auto held = waitingRoom_.take(now, waiting < slots + SpareWaiting);
+        if (!held)
+            break;
+        const Flows::Decision decision =
+            director_.onPacket(now, service_, held->header, held->packet, {true, true, true});
+        const auto verdict = act(now, decision, held->header, held->packet);
+        if (const auto *delivery = std::get_if<DeliverToBackend>(&verdict))
+            admitted.push_back({held->packet.flow, delivery->mark});
+    }
+    return admitted;
+}
+
+std::vector<Outgoing> AgentCore::takeClaims()
+{
+    std::vector<Outgoing> outgoing;
+    for (auto &[receiver, flows] : claims_) {
+        for (std::size_t first = 0; first < flows.size(); first += Tunnel::MaxFlowsPerRedirects) {
+            const auto count = std::min(Tunnel::MaxFlowsPerRedirects, flows.size() - first);
+            const auto begin = flows.begin() + std::ptrdiff_t(first);
+            Tunnel::Redirects redirects{selfHop_, {begin, begin + std::ptrdiff_t(count)}};
+            outgoing.push_back({receiver, {service_, {}, std::move(redirects)}});
+        }
+    }
+    claims_.clear();
+    return outgoing;
+}
+
 std::vector<Outgoing> AgentCore::tick(TimePoint now)
 {
     if (now - lastSweep_ >= SweepInterval) {
@@ -352,17 +402,7 @@
         }
     }
 
-    std::vector<Outgoing> outgoing;
-    for (auto &[receiver, flows] : claims_) {
-        for (std::size_t first = 0; first < flows.size(); first += Tunnel::MaxFlowsPerRedirects) {
-            const auto count = std::min(Tunnel::MaxFlowsPerRedirects, flows.size() - first);
-            const auto begin = flows.begin() + std::ptrdiff_t(first);
-            Tunnel::Redirects redirects{selfHop_, {begin, begin + std::ptrdiff_t(count)}};
-            outgoing.push_back({receiver, {service_, {}, std::move(redirects)}});
-        }
-    }
-    claims_.clear();
-
+    std::vector<Outgoing> outgoing = takeClaims();
     if (const auto waiting = meter_.waiting(now); waiting != reportedWaiting_) {
         reportedWaiting_ = waiting;
         pacer_.onChange();
@@ -396,7 +436,7 @@
 AgentStatus AgentCore::status(TimePoint now)
 {
     return {isAccepting(now), meter_.waiting(now), director_.openCount(),
-            director_.redirectCount(), meter_.answerTime(now)};
+            director_.redirectCount(), waitingRoom_.size(), meter_.answerTime(now)};
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -4,6 +4,7 @@
 #include "forwarding/balancercore.h"
 #include "forwarding/controlpacer.h"
 #include "forwarding/deliverymarks.h"
+#include "forwarding/waitingroom.h"
 #include "membership/roster.h"
 #include "placement/loadmeter.h"
 
@@ -55,8 +56,19 @@
     Model::Endpoint caller;
 };
 
-using AgentVerdict =
-    std::variant<DeliverToBackend, SendToCaller, SendOn, ResetFlow, Flows::DropCause>;
+/// Keep the packet until takeAdmitted() or takeExpired() names its flow.
+struct HoldPacket
+{};
+
+using AgentVerdict = std::variant<DeliverToBackend, SendToCaller, SendOn, ResetFlow, HoldPacket,
+                                  Flows::DropCause>;
+
+/// A held packet that is delivered now.
+struct AdmittedFlow
+{
+    Model::FlowKey flow;
+    DeliveryMark mark{};
+};
 
 /// How an agent stands to its backend server.
 struct AgentStatus
@@ -65,6 +77,7 @@
     std::uint32_t waiting = 0;
     std::size_t openFlows = 0;
     std::size_t redirects = 0;
+    std::size_t heldSyns = 0;
     std::chrono::microseconds answerTime{0};
 };
 
@@ -108,6 +121,15 @@
     /// Takes a control datagram of another process.
     void onDatagram(TimePoint now, const Tunnel::Datagram &datagram);
 
+    /// Returns the flows whose held packets are delivered now.
+    std::vector<AdmittedFlow> takeAdmitted(TimePoint now);
+
+    /// Returns the flows whose held packets are dropped now.
+    std::vector<Model::FlowKey> takeExpired(TimePoint now) { return waitingRoom_.expire(now); }
+
+    /// Returns what other processes are to learn at once: who took a flow or owns it.
+    std::vector<Outgoing> takeClaims();
+
     /// Returns the control datagrams that are due now.
     std::vector<Outgoing> tick(TimePoint now);
 
@@ -142,7 +164,7 @@
     void noteEnded(TimePoint now, FlowTrack &track);
     AgentVerdict deliver(TimePoint now, const Tunnel::PacketHeader &header,
                          const Tunnel::TcpPacket &packet);
-    Flows::Room room(TimePoint now);
+    Flows::Room room(TimePoint now, const Tunnel::TcpPacket &packet);
     void claimAtRegistrar(const Model::FlowKey &flow);
     void forgetFlow(const Model::FlowKey &flow);
     void endAllFlows();
@@ -158,6 +180,7 @@
     Flows::FlowDirector director_;
     Placement::LoadMeter meter_;
     DeliveryMarks marks_;
+    WaitingRoom waitingRoom_;
     std::unordered_map<Model::FlowKey, FlowTrack> tracks_;
     std::unique_ptr<Routing::ServiceTable> table_;
     std::optional<BackendBeat> backend_;
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -20,6 +20,7 @@
     std::atomic<std::uint64_t> returned = 0;
     std::atomic<std::uint64_t> passedOn = 0;
     std::atomic<std::uint64_t> resets = 0;
+    std::atomic<std::uint64_t> held = 0;
     std::array<std::atomic<std::uint64_t>, Flows::DropCauseCount> drops{};
 };
 
@@ -79,9 +80,11 @@
             else
                 takeFromBackend(now, batch.writable(index));
         }
+        admitHeld(now);
         toBackend_.flush(outbound_.descriptor());
         toCallers_.flush(outbound_.descriptor());
         toPeers_.flush(tunnel_.descriptor());
+        sendControl(core_.takeClaims());
     }
 
     /// Called on the traffic thread.
@@ -90,6 +93,8 @@
         const std::lock_guard guard(mutex_);
         sendControl(core_.tick(now));
         sendResets();
+        admitHeld(now);
+        toBackend_.flush(outbound_.descriptor());
     }
 
 private:
@@ -127,6 +132,8 @@
         }
         if (!packet->isReturned) {
             const Tunnel::TcpPacket segment = backendSegment(*packet);
+            if (segment.rst)
+                logBackendReset(segment);
             act(segment, core_.onBackendPacket(now, segment), bytes);
             return;
         }
@@ -155,10 +162,31 @@
             toPeers_.add(header, bytes, sendOn->receiver);
         } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
             sendReset(*reset);
+        } else if (std::holds_alternative<HoldPacket>(verdict)) {
+            ++counters_.held;
+            held_[segment.flow].assign(bytes.begin(), bytes.end());
         } else {
             ++counters_.drops[std::size_t(std::get<Flows::DropCause>(verdict))];
         }
-        static_cast<void>(segment);
+    }
+
+    /// Delivers held packets that are admitted, and drops those that waited too long.
+    void admitHeld(TimePoint now)
+    {
+        for (const AdmittedFlow &admitted : core_.takeAdmitted(now)) {
+            const auto held = held_.find(admitted.flow);
+            if (held == held_.end())
+                continue;
+            logAdmitted(admitted.flow);
+            ++counters_.delivered;
+            Codec::setMark(held->second, admitted.mark);
+            Tunnel::sendDatagram(outbound_.descriptor(), held->second, {}, backend_);
+            held_.erase(held);
+        }
+        for (const Model::FlowKey &flow : core_.takeExpired(now)) {
+            logExpired(flow);
+            held_.erase(flow);
+        }
     }
 
     void sendReset(const ResetFlow &reset)
@@ -197,6 +225,7 @@
     Tunnel::SendBatch toPeers_;
     std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
     std::size_t headerCount_ = 0;
+    std::unordered_map<Model::FlowKey, std::vector<std::byte>> held_; ///< packets by flow
     std::vector<std::byte> control_;
     TrafficThread<AgentTraffic> thread_;
 };
--- a/src/libs/forwarding/controlpacer.cpp
+++ b/src/libs/forwarding/controlpacer.cpp
@@ -19,7 +19,10 @@
 {
     std::vector<Receiver> receivers;
     const auto balancers = roster.balancers();
-    if (now - lastSeed_ >= SeedInterval) {
+    if (!started_)
+        started_ = now;
+    const auto seedInterval = now - *started_ < StartTime ? FirstSeedInterval : SeedInterval;
+    if (now - lastSeed_ >= seedInterval) {
         lastSeed_ = now;
         for (const Model::Endpoint &seed : seeds_) {
             if (!roster.hasAddress(seed.address))
--- a/src/libs/forwarding/controlpacer.h
+++ b/src/libs/forwarding/controlpacer.h
@@ -3,6 +3,7 @@
 #include "membership/roster.h"
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 namespace Forwarding {
@@ -22,8 +23,13 @@
 /// they cost the smallest instance of a balancer at the number of agents of its failure domain.
 constexpr std::size_t ReportsPerSecond = 50;
 
-/// How often a process reports to a seed that it does not know yet.
-constexpr std::chrono::milliseconds SeedInterval{150};
+/// How often a process reports to a seed that it does not know yet, right after its start and later:
+/// a system that starts as a whole is to serve within a second.
+constexpr std::chrono::milliseconds FirstSeedInterval{40};
+constexpr std::chrono::milliseconds SeedInterval{300};
+
+/// How long a start lasts.
+constexpr std::chrono::seconds StartTime{3};
 
 /// Decides when a process reports to which balancers: soon after a change to those of its own
 /// failure domain, and at ReportInterval to all. Not thread-safe.
@@ -58,6 +64,7 @@
     TimePoint lastFull_;
     TimePoint lastNear_;
     TimePoint lastSeed_;
+    std::optional<TimePoint> started_;
     std::size_t nextAsked_ = 0;
     bool hasChange_ = true;
     bool isUrgent_ = true;
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -59,6 +59,11 @@
                          {"cause", Flows::dropCauseText(*cause)}});
     } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
         logReset(*reset, "no-owner");
+    } else if (std::holds_alternative<HoldPacket>(verdict)) {
+        logDecisionLine(Level::Info, "flow-held",
+                        {{"flow", Model::flowText(packet.flow)},
+                         {"copy", packet.acknowledgement},
+                         {"passes", header.passes}});
     }
 }
 
@@ -75,6 +80,22 @@
                      {"outcome", outcome}});
 }
 
+void logAdmitted(const Model::FlowKey &flow)
+{
+    logDecisionLine(Level::Info, "flow-admitted", {{"flow", Model::flowText(flow)}});
+}
+
+void logExpired(const Model::FlowKey &flow)
+{
+    logDecisionLine(Level::Warning, "flow-not-admitted", {{"flow", Model::flowText(flow)}});
+}
+
+void logBackendReset(const Tunnel::TcpPacket &packet)
+{
+    logDecisionLine(Level::Info, "flow-reset-by-backend",
+                    {{"flow", Model::flowText(packet.flow)}, {"sequence", packet.sequence}});
+}
+
 void logReset(const ResetFlow &reset, const char *cause)
 {
     logDecisionLine(Level::Warning, "flow-reset",
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -16,6 +16,13 @@
 /// Writes a line for a packet that the backend server returned.
 void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict);
 
+/// Writes a line for a held SYN that is delivered, or was held in vain.
+void logAdmitted(const Model::FlowKey &flow);
+void logExpired(const Model::FlowKey &flow);
+
+/// Writes a line for a flow that the backend server reset.
+void logBackendReset(const Tunnel::TcpPacket &packet);
+
 /// Writes a line for a reset that was sent for \a cause.
 void logReset(const ResetFlow &reset, const char *cause);
 
--- /dev/null
+++ b/src/libs/forwarding/waitingroom.cpp
@@ -0,0 +1,63 @@
+#include "forwarding/waitingroom.h"
+
+#include <algorithm>
+
+namespace Forwarding {
+
+/// Time between the copies of a SYN, and from the last one to the end of the attempt, each less the
+/// time that the answer needs: 200, 400 and 800 ms.
+static constexpr std::chrono::milliseconds HoldTimes[] = {
+    std::chrono::milliseconds(190), std::chrono::milliseconds(380), std::chrono::milliseconds(700)};
+
+static std::chrono::milliseconds holdTime(std::uint32_t copy)
+{
+    return HoldTimes[std::min<std::size_t>(copy, std::size(HoldTimes) - 1)];
+}
+
+bool WaitingRoom::hold(TimePoint now, const Tunnel::PacketHeader &header,
+                       const Tunnel::TcpPacket &packet)
+{
+    const auto isSameFlow = [&packet](const HeldSyn &held) {
+        return held.packet.flow == packet.flow;
+    };
+    std::erase_if(fresh_, isSameFlow);
+    std::erase_if(late_, isSameFlow);
+    if (size() >= MaxHeldSyns)
+        return false;
+    auto &queue = isFirstCopy(packet) ? fresh_ : late_;
+    queue.push_back({header, packet, now, now + holdTime(packet.acknowledgement)});
+    return true;
+}
+
+std::optional<WaitingRoom::HeldSyn> WaitingRoom::take(TimePoint now, bool takesLate)
+{
+    while (!fresh_.empty() && now - fresh_.front().since > FreshTime) {
+        late_.push_back(std::move(fresh_.front()));
+        fresh_.pop_front();
+    }
+    if (!fresh_.empty()) {
+        HeldSyn held = std::move(fresh_.back());
+        fresh_.pop_back();
+        return held;
+    }
+    if (!takesLate || late_.empty())
+        return std::nullopt;
+    HeldSyn held = std::move(late_.front());
+    late_.pop_front();
+    return held;
+}
+
+std::vector<Model::FlowKey> WaitingRoom::expire(TimePoint now)
+{
+    std::vector<Model::FlowKey> expired;
+    for (auto *queue : {&fresh_, &late_}) {
+        for (const HeldSyn &held : *queue) {
+            if (now >= held.until)
+                expired.push_back(held.packet.flow);
+        }
+        std::erase_if(*queue, [now](const HeldSyn &held) { return now >= held.until; });
+    }
+    return expired;
+}
+
+} // namespace Forwarding
--- a/src/libs/placement/loadmeter.h
+++ b/src/libs/placement/loadmeter.h
@@ -9,9 +9,9 @@
 
 namespace Placement {
 
-/// How long a new flow counts as about to send its request: the longest handshake of a caller that
-/// lost one packet and sent it again after 200 ms.
-constexpr std::chrono::milliseconds ExpectedRequest{400};
+/// How long a new flow counts as about to send its request: two round trips to a caller 12 ms away,
+/// the farthest of the deployments. Callers that took another agent's answer never send it.
+constexpr std::chrono::milliseconds ExpectedRequest{50};
 
 /// Measures the load of one backend server by the packets that pass: which flows wait for an
 /// answer, and how long answers take. Not thread-safe.
