Fleet tests: the real decisions over a network, and three faults that they found

Cause: (1) a beat of a new backend server reset flows that were opened to it before that beat; (2) a search followed a claim to an instance that was gone and ended there; (3) SYN copies were tested with equal sequence numbers, a fault of the test.

--- a/src/daemon/forwardingagentprocess.cpp
+++ b/src/daemon/forwardingagentprocess.cpp
@@ -39,6 +39,7 @@
     options.self.instance.incarnation = Model::Incarnation(startNumber());
     options.backend = settings.backend;
     options.isFirstStart = process.isFirstStart;
+    options.beatInterval = settings.beatInterval;
     options.longestFlow = settings.longestFlow;
     return options;
 }
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -12,6 +12,7 @@
 static constexpr std::int64_t LargestPacketBytes = 1500;
 static constexpr std::int64_t DefaultPacketBytes = 1240;
 
+static constexpr std::int64_t LargestBeatMs = 600'000;
 static constexpr std::int64_t LargestFlowSeconds = 86'400;
 
 static ProcessSettings readProcess(ObjectReader &reader)
@@ -67,6 +68,8 @@
     agent.service = reader.string("service");
     agent.backend = reader.endpoint("backend");
     agent.outbound = reader.endpoint("outbound");
+    agent.beatInterval =
+        std::chrono::milliseconds(reader.integer("beatIntervalMs", 1, LargestBeatMs));
     agent.longestFlow =
         std::chrono::seconds(reader.integer("longestFlowSeconds", 1, LargestFlowSeconds));
     return agent;
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -55,10 +55,17 @@
 void FlowDirector::onTable(const Routing::ServiceTable &table)
 {
     alive_.clear();
+    std::set<Model::InstanceId> known;
     for (const Model::Instance &instance : table.instances()) {
+        known.insert(Model::instanceId(instance.name));
         if (instance.state != Model::InstanceState::Suspect)
             alive_[Model::instanceId(instance.name)] = instance.incarnation;
     }
+    for (const Model::InstanceId instance : known_)
+        gone_.insert(instance);
+    for (const Model::InstanceId instance : known)
+        gone_.erase(instance);
+    known_ = std::move(known);
 }
 
 bool FlowDirector::isAlive(const Routing::Hop &hop) const
@@ -68,7 +75,8 @@
 }
 
 /// Sends the packet to the owner that is known. The rest of the chain follows, so that a redirect
-/// that is out of date costs a detour and no flow. Claimants that seem dead are asked last.
+/// that is out of date costs a detour and no flow. Claimants that seem dead are asked last, and
+/// those that left the table not at all: a search must not end at an instance that is gone.
 Decision FlowDirector::passToOwner(const Tunnel::PacketHeader &header,
                                    const Redirect &redirect) const
 {
@@ -82,8 +90,12 @@
     }
     for (std::size_t next = header.position + 1u; next < header.chain.size(); ++next)
         appendNew(onward.chain, header.chain[next]);
-    for (const Routing::Hop &hop : redirect.claimants)
-        appendNew(onward.chain, hop);
+    for (const Routing::Hop &hop : redirect.claimants) {
+        if (!gone_.contains(hop.instance))
+            appendNew(onward.chain, hop);
+    }
+    if (onward.chain.isEmpty())
+        return drop(DropCause::NoOwner);
     onward.position = 0;
     ++onward.redirects;
     ++onward.passes;
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -208,6 +209,8 @@
     Flows flows_;
     std::unordered_map<Model::FlowKey, Redirect> redirects_;
     std::unordered_map<Model::InstanceId, Model::Incarnation> alive_;
+    std::set<Model::InstanceId> known_; ///< those of the table, suspect ones too
+    std::set<Model::InstanceId> gone_;  ///< those that left the table
     std::size_t openCount_ = 0;
     bool mayHoldUnknownFlows_ = false;
 };
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -48,6 +48,9 @@
 /// about half of the tightest latency objective, 120 ms at 20 to 30 ms a request.
 static constexpr std::uint32_t MostWaitingPerSlot = 2;
 
+/// Times its interval that a beat may be late.
+static constexpr int BeatMargin = 2;
+
 const char *beatOutcomeText(BeatOutcome outcome)
 {
     switch (outcome) {
@@ -166,7 +169,8 @@
         meter_.onRequestBytes(now, packet.flow);
     }
     if (director_.owns(packet.flow)) {
-        FlowTrack &track = tracks_[packet.flow];
+        FlowTrack &track = tracks_.try_emplace(packet.flow, FlowTrack{now, 0, {}, false, false, {}})
+                               .first->second;
         track.acknowledgement = packet.acknowledgement;
         track.callerEnded |= packet.fin || packet.rst;
         noteEnded(now, track);
@@ -237,8 +241,11 @@
         if (isOvertaken)
             return BeatOutcome::Overtaken;
         if (!isSameStart) {
-            endAllFlows();
-            director_.setMayHoldUnknownFlows(false);
+            // The new server started at most that many beats ago; later flows may be its own.
+            const auto oldest = options_.beatInterval * BeatMargin * (beat.sequence + 1);
+            endFlowsBefore(now - oldest);
+            director_.setMayHoldUnknownFlows(true);
+            started_ = now;
             hasLeft_ = false;
         }
     }
@@ -259,10 +266,13 @@
     pacer_.onUrgentChange();
 }
 
-void AgentCore::endAllFlows()
+/// Ends the flows of a backend server that was replaced. Those that may be its successor's are asked
+/// for again by their next packet.
+void AgentCore::endFlowsBefore(TimePoint limit)
 {
     for (const Model::FlowKey &flow : director_.ownedFlows()) {
-        if (const auto track = tracks_.find(flow); track != tracks_.end())
+        const auto track = tracks_.find(flow);
+        if (track != tracks_.end() && track->second.since < limit)
             resets_.push_back({flow, track->second.acknowledgement});
         director_.onGone(flow);
     }
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -96,6 +96,7 @@
         Model::Endpoint backend;
         bool isFirstStart = false; ///< no backend server can hold flows from before
         std::chrono::seconds longestFlow{0}; ///< flows from before this start last no longer
+        std::chrono::milliseconds beatInterval{0}; ///< of the backend server
     };
 
     AgentCore(TimePoint now, Options options);
@@ -149,6 +150,7 @@
     /// What the agent keeps of an open flow besides its owner.
     struct FlowTrack
     {
+        TimePoint since; ///< when the flow was first seen to be open
         std::uint32_t acknowledgement = 0; ///< the caller's latest
         TimePoint lastOriginNotice;
         bool callerEnded = false;
@@ -167,7 +169,7 @@
     Flows::Room room(TimePoint now, const Tunnel::TcpPacket &packet);
     void claimAtRegistrar(const Model::FlowKey &flow);
     void forgetFlow(const Model::FlowKey &flow);
-    void endAllFlows();
+    void endFlowsBefore(TimePoint limit);
     void rebuild();
     bool isAccepting(TimePoint now) const;
     Tunnel::Report report(TimePoint now);
--- /dev/null
+++ b/tests/auto/forwarding/fleet.h
@@ -0,0 +1,510 @@
+#pragma once
+
+#include "forwarding/agentcore.h"
+#include "forwarding/balancercore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The real decisions of balancers and agents over a network, backend servers and callers that a
+/// test steers. The oracle knows which backend server holds which flow.
+namespace Fleet {
+
+using namespace std::chrono_literals;
+using Forwarding::TimePoint;
+
+constexpr std::chrono::microseconds Hop{500};
+constexpr std::chrono::milliseconds Tick{20};
+constexpr std::chrono::milliseconds BeatInterval{1200};
+
+struct Backend
+{
+    std::string service;
+    std::string id;
+    std::int64_t bornMs = 0;
+    std::uint64_t sequence = 0;
+    bool isAlive = true;
+    bool isDraining = false;
+    std::uint32_t nextSequence = 1000;
+    std::map<Model::FlowKey, std::uint32_t> answered; ///< sequence of each SYN+ACK
+    std::set<Model::FlowKey> flows;                   ///< open, as the handshake told
+    std::uint64_t synsAfterDrain = 0;
+};
+
+struct AgentNode
+{
+    std::unique_ptr<Forwarding::AgentCore> core;
+    Model::Endpoint tunnel;
+    Model::Endpoint app;
+    std::string name;
+    std::string domain;
+    Backend backend;
+    std::map<Model::FlowKey, Tunnel::TcpPacket> held;
+    bool wasKilled = false; ///< the process ended without a word, and was not started again
+};
+
+struct BalancerNode
+{
+    std::unique_ptr<Forwarding::BalancerCore> core;
+    Tunnel::Member self;
+};
+
+struct Caller
+{
+    Model::FlowKey flow;
+    std::optional<std::uint32_t> acknowledgement; ///< after the handshake
+    std::optional<std::size_t> owner;             ///< index of the agent whose backend answered
+    bool wasReset = false;
+};
+
+class World
+{
+public:
+    explicit World(std::size_t balancers, std::size_t agents, const std::string &second = "")
+    {
+        for (std::size_t index = 0; index < balancers; ++index) {
+            Tunnel::Member self;
+            self.role = Tunnel::Role::Balancer;
+            self.instance.name = "front-" + std::to_string(index);
+            self.instance.failureDomain = domainOf(index);
+            self.instance.tunnel = {0x0a010000 + std::uint32_t(index) + 1, 7000};
+            self.instance.peer = {self.instance.tunnel.address, 7001};
+            balancers_.push_back({nullptr, self});
+        }
+        for (std::size_t index = 0; index < agents; ++index) {
+            AgentNode node;
+            node.name = "side-" + std::to_string(index);
+            node.domain = domainOf(index);
+            node.tunnel = {0x0a020000 + std::uint32_t(index) + 1, 7000};
+            node.app = {node.tunnel.address, 8080};
+            node.backend.service = !second.empty() && index % 2 == 1 ? second : "order-desk";
+            node.backend.id = "i-" + std::to_string(index);
+            node.backend.bornMs = ++bornMs_;
+            node.backend.nextSequence = std::uint32_t(bornMs_) * 100'003;
+            agents_.push_back(std::move(node));
+        }
+        configuration_.generation = Model::Generation(1);
+        for (const std::string &name : {std::string("order-desk"), second}) {
+            if (name.empty())
+                continue;
+            Model::Service service;
+            service.name = name;
+            configuration_.services.push_back(service);
+            configuration_.routes.push_back(
+                {{0xc6120001 + std::uint32_t(configuration_.routes.size()), 443}, {{name, 1}}});
+        }
+        for (std::size_t index = 0; index < balancers; ++index)
+            startBalancer(index);
+        for (std::size_t index = 0; index < agents; ++index) {
+            startAgent(index, true);
+            scheduleBeat(index);
+        }
+        scheduleTick();
+        run(2500ms);
+    }
+
+    /// Lets \a time pass.
+    void run(std::chrono::milliseconds time)
+    {
+        const TimePoint end = now_ + time;
+        while (!events_.empty() && events_.top().at <= end) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.act();
+        }
+        now_ = end;
+    }
+
+    void startBalancer(std::size_t index)
+    {
+        BalancerNode &node = balancers_[index];
+        node.self.instance.incarnation = Model::Incarnation(++incarnation_);
+        node.core = std::make_unique<Forwarding::BalancerCore>(node.self);
+        node.core->setSeeds(seeds());
+        node.core->setConfiguration(configuration_);
+    }
+
+    void stopBalancer(std::size_t index) { balancers_[index].core.reset(); }
+
+    void startAgent(std::size_t index, bool isFirst = false)
+    {
+        AgentNode &node = agents_[index];
+        Forwarding::AgentCore::Options options;
+        options.self.instance.name = node.name;
+        options.self.instance.service = node.backend.service;
+        options.self.instance.failureDomain = node.domain;
+        options.self.instance.tunnel = node.tunnel;
+        options.self.instance.incarnation = Model::Incarnation(++incarnation_);
+        options.backend = node.app;
+        options.isFirstStart = isFirst;
+        options.longestFlow = 60s;
+        options.beatInterval = BeatInterval;
+        node.core = std::make_unique<Forwarding::AgentCore>(now_, options);
+        node.core->setSeeds(seeds());
+        node.wasKilled = false;
+    }
+
+    /// Ends the agent's process; \a isPlanned lets it say so.
+    void stopAgent(std::size_t index, bool isPlanned)
+    {
+        AgentNode &node = agents_[index];
+        if (node.core && isPlanned)
+            sendAll(node.core->farewell(now_));
+        if (node.core)
+            node.wasKilled = !isPlanned;
+        node.core.reset();
+        node.held.clear();
+    }
+
+    /// Ends the backend server with its flows and starts another one in its place.
+    void replaceBackend(std::size_t index, bool keepsId)
+    {
+        Backend &backend = agents_[index].backend;
+        const std::string service = backend.service;
+        const std::string id = keepsId ? backend.id : backend.id + "x";
+        backend = {};
+        backend.service = service;
+        backend.id = id;
+        backend.bornMs = ++bornMs_;
+        backend.nextSequence = std::uint32_t(bornMs_) * 100'003;
+    }
+
+    void beat(std::size_t index)
+    {
+        AgentNode &node = agents_[index];
+        Backend &backend = node.backend;
+        if (!node.core || !backend.isAlive)
+            return;
+        Forwarding::BackendBeat beat;
+        beat.id = backend.id;
+        beat.service = backend.service;
+        beat.address = node.app;
+        beat.slots = 3;
+        beat.isDraining = backend.isDraining;
+        beat.bornMs = backend.bornMs;
+        beat.sequence = ++backend.sequence;
+        node.core->onBeat(now_, beat);
+    }
+
+    void drain(std::size_t index)
+    {
+        agents_[index].backend.isDraining = true;
+        beat(index);
+    }
+
+    /// Opens a flow by a SYN; returns its caller's index.
+    std::size_t open(std::size_t balancer, std::size_t route = 0)
+    {
+        Caller caller;
+        caller.flow = {{0x64400007, std::uint16_t(1000 + callers_.size())},
+                       configuration_.routes[route].address};
+        callers_.push_back(caller);
+        sendSyn(callers_.size() - 1, balancer, 0);
+        return callers_.size() - 1;
+    }
+
+    void sendSyn(std::size_t caller, std::size_t balancer, std::uint32_t copy)
+    {
+        Tunnel::TcpPacket syn;
+        syn.flow = callers_[caller].flow;
+        syn.syn = true;
+        syn.acknowledgement = copy;
+        toBalancer(balancer, syn);
+    }
+
+    /// Sends data on an open flow through \a balancer.
+    void sendData(std::size_t caller, std::size_t balancer)
+    {
+        if (!callers_[caller].acknowledgement)
+            return;
+        Tunnel::TcpPacket data;
+        data.flow = callers_[caller].flow;
+        data.ack = true;
+        data.acknowledgement = *callers_[caller].acknowledgement;
+        data.payloadBytes = 100;
+        toBalancer(balancer, data);
+    }
+
+    const Caller &caller(std::size_t index) const { return callers_[index]; }
+    std::size_t callerCount() const { return callers_.size(); }
+    std::size_t balancerCount() const { return balancers_.size(); }
+    std::size_t agentCount() const { return agents_.size(); }
+    AgentNode &agent(std::size_t index) { return agents_[index]; }
+    Forwarding::BalancerCore &balancer(std::size_t index) { return *balancers_[index].core; }
+    Model::Configuration &configuration() { return configuration_; }
+    TimePoint now() const { return now_; }
+
+    /// Whether the caller's flow is held by a backend server that lives.
+    bool isHeld(std::size_t index) const
+    {
+        const Caller &caller = callers_[index];
+        if (!caller.owner)
+            return false;
+        const Backend &backend = agents_[*caller.owner].backend;
+        return backend.isAlive && backend.flows.contains(caller.flow);
+    }
+
+    /// Returns the packets of \a caller's flow that its own backend server got so far.
+    std::uint64_t reached(std::size_t caller) { return reached_[callers_[caller].flow]; }
+
+    std::uint64_t strays = 0;      ///< packets that reached a backend server of another service
+    std::uint64_t wrongResets = 0; ///< resets of flows whose backend server lives and holds them
+    std::uint64_t resets = 0;
+    double lossRate = 0;
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t number;
+        std::function<void()> act;
+
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.at, other.number) < std::tie(at, number);
+        }
+    };
+
+    static std::string domainOf(std::size_t index) { return index % 2 ? "harbour" : "portmore"; }
+
+    std::vector<Model::Endpoint> seeds() const
+    {
+        std::vector<Model::Endpoint> seeds;
+        for (std::size_t index = 0; index < std::min<std::size_t>(2, balancers_.size()); ++index)
+            seeds.push_back(balancers_[index].self.instance.tunnel);
+        return seeds;
+    }
+
+    void after(std::chrono::microseconds wait, std::function<void()> act)
+    {
+        events_.push({now_ + wait, ++events, std::move(act)});
+    }
+
+    bool isLost()
+    {
+        random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+        return lossRate > 0 && double(random_ >> 40) / double(1 << 24) < lossRate;
+    }
+
+    void scheduleTick()
+    {
+        after(Tick, [this] {
+            for (BalancerNode &node : balancers_) {
+                if (node.core)
+                    sendAll(node.core->tick(now_));
+            }
+            for (std::size_t index = 0; index < agents_.size(); ++index) {
+                AgentNode &node = agents_[index];
+                if (!node.core)
+                    continue;
+                sendAll(node.core->tick(now_));
+                for (const Forwarding::ResetFlow &reset : node.core->takeResets())
+                    onReset(reset);
+                finishAgent(index);
+            }
+            scheduleTick();
+        });
+    }
+
+    void scheduleBeat(std::size_t index)
+    {
+        after(BeatInterval, [this, index] {
+            beat(index);
+            scheduleBeat(index);
+        });
+    }
+
+    void sendAll(const std::vector<Forwarding::Outgoing> &outgoing)
+    {
+        for (const auto &[receiver, datagram] : outgoing) {
+            if (isLost())
+                continue;
+            // What arrives is what the encoding carries.
+            const auto bytes = Tunnel::encodeDatagram(datagram);
+            const auto received = Tunnel::decodeDatagram(bytes);
+            after(Hop, [this, to = receiver, content = received->datagram] {
+                for (BalancerNode &node : balancers_) {
+                    if (node.core && node.self.instance.tunnel == to)
+                        sendAll(node.core->onDatagram(now_, content));
+                }
+                for (AgentNode &node : agents_) {
+                    if (node.core && node.tunnel == to)
+                        node.core->onDatagram(now_, content);
+                }
+            });
+        }
+    }
+
+    void toBalancer(std::size_t index, const Tunnel::TcpPacket &packet)
+    {
+        if (isLost())
+            return;
+        after(Hop, [this, index, packet] {
+            if (!balancers_[index].core)
+                return;
+            const auto verdict = balancers_[index].core->onCallerPacket(now_, packet);
+            if (const auto *sendOn = std::get_if<Forwarding::SendOn>(&verdict))
+                toAgent(*sendOn, packet);
+            else if (const auto *reset = std::get_if<Forwarding::ResetFlow>(&verdict))
+                onReset(*reset);
+        });
+    }
+
+    void toAgent(const Forwarding::SendOn &sendOn, const Tunnel::TcpPacket &packet)
+    {
+        if (isLost())
+            return;
+        after(Hop, [this, sendOn, packet] {
+            for (std::size_t index = 0; index < agents_.size(); ++index) {
+                AgentNode &node = agents_[index];
+                if (!node.core || node.tunnel != sendOn.receiver)
+                    continue;
+                const auto &header = std::get<Tunnel::PacketHeader>(sendOn.datagram.content);
+                act(index, packet,
+                    node.core->onCallerPacket(now_, sendOn.datagram.service, header, packet),
+                    sendOn.datagram.service);
+                finishAgent(index);
+            }
+        });
+    }
+
+    void act(std::size_t index, const Tunnel::TcpPacket &packet,
+             const Forwarding::AgentVerdict &verdict, Model::ServiceId service)
+    {
+        if (const auto *delivery = std::get_if<Forwarding::DeliverToBackend>(&verdict))
+            toBackend(index, packet, delivery->mark, service);
+        else if (const auto *sendOn = std::get_if<Forwarding::SendOn>(&verdict))
+            toAgent(*sendOn, packet);
+        else if (const auto *reset = std::get_if<Forwarding::ResetFlow>(&verdict))
+            onReset(*reset);
+        else if (std::holds_alternative<Forwarding::HoldPacket>(verdict))
+            agents_[index].held[packet.flow] = packet;
+    }
+
+    void finishAgent(std::size_t index)
+    {
+        AgentNode &node = agents_[index];
+        for (const Forwarding::AdmittedFlow &admitted : node.core->takeAdmitted(now_)) {
+            toBackend(index, node.held[admitted.flow], admitted.mark,
+                      Model::serviceId(node.backend.service));
+            node.held.erase(admitted.flow);
+        }
+        for (const Model::FlowKey &flow : node.core->takeExpired(now_))
+            node.held.erase(flow);
+        sendAll(node.core->takeClaims());
+    }
+
+    void toBackend(std::size_t index, const Tunnel::TcpPacket &packet,
+                   Forwarding::DeliveryMark mark, Model::ServiceId service)
+    {
+        Backend &backend = agents_[index].backend;
+        if (service != Model::serviceId(backend.service))
+            ++strays;
+        if (!backend.isAlive)
+            return;
+        if (packet.opensFlow()) {
+            backend.synsAfterDrain += backend.isDraining;
+            const auto [answer, isNew] =
+                backend.answered.try_emplace(packet.flow, backend.nextSequence);
+            backend.nextSequence += isNew ? 7919 : 0;
+            Tunnel::TcpPacket synAck;
+            synAck.flow = packet.flow;
+            synAck.syn = true;
+            synAck.ack = true;
+            synAck.sequence = answer->second;
+            fromBackend(index, synAck);
+            return;
+        }
+        const auto answer = backend.answered.find(packet.flow);
+        const bool isOurs = backend.flows.contains(packet.flow)
+                            || (answer != backend.answered.end()
+                                && packet.acknowledgement == answer->second + 1);
+        if (!isOurs) {
+            after(Hop, [this, index, packet, mark] {
+                AgentNode &node = agents_[index];
+                if (!node.core)
+                    return;
+                act(index, packet, node.core->onReturnedPacket(now_, packet, mark),
+                    Model::serviceId(node.backend.service));
+                finishAgent(index);
+            });
+            return;
+        }
+        backend.flows.insert(packet.flow);
+        ++reached_[packet.flow];
+        if (packet.payloadBytes == 0)
+            return;
+        Tunnel::TcpPacket data;
+        data.flow = packet.flow;
+        data.ack = true;
+        data.payloadBytes = 500;
+        fromBackend(index, data);
+    }
+
+    void fromBackend(std::size_t index, const Tunnel::TcpPacket &packet)
+    {
+        after(Hop, [this, index, packet] {
+            AgentNode &node = agents_[index];
+            if (!node.core)
+                return;
+            node.core->onBackendPacket(now_, packet);
+            finishAgent(index);
+            if (packet.syn)
+                after(Hop, [this, index, packet] { onSynAck(index, packet); });
+        });
+    }
+
+    void onSynAck(std::size_t index, const Tunnel::TcpPacket &packet)
+    {
+        for (std::size_t number = 0; number < callers_.size(); ++number) {
+            Caller &caller = callers_[number];
+            if (caller.flow != packet.flow || caller.acknowledgement)
+                continue;
+            caller.acknowledgement = packet.sequence + 1;
+            caller.owner = index;
+            Tunnel::TcpPacket ack;
+            ack.flow = caller.flow;
+            ack.ack = true;
+            ack.acknowledgement = *caller.acknowledgement;
+            toBalancer(number % balancers_.size(), ack);
+        }
+    }
+
+    void onReset(const Forwarding::ResetFlow &reset)
+    {
+        ++resets;
+        for (std::size_t number = 0; number < callers_.size(); ++number) {
+            if (callers_[number].flow != reset.flow)
+                continue;
+            // Nobody can tell an agent that was killed from a lost instance; only a stop that was
+            // announced, or a running agent, rules a reset out.
+            const bool isAnnounced =
+                callers_[number].owner && !agents_[*callers_[number].owner].wasKilled;
+            wrongResets += isHeld(number) && isAnnounced;
+            callers_[number].wasReset = true;
+        }
+    }
+
+    TimePoint now_ = TimePoint() + 1000s;
+    std::uint64_t events = 0;
+    std::priority_queue<Event> events_;
+    std::vector<BalancerNode> balancers_;
+    std::vector<AgentNode> agents_;
+    std::vector<Caller> callers_;
+    std::map<Model::FlowKey, std::uint64_t> reached_;
+    Model::Configuration configuration_;
+    std::int64_t bornMs_ = 100;
+    std::uint64_t incarnation_ = 1;
+    std::uint64_t random_ = 20261204;
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/tests/auto/forwarding/tst_waitingroom.cpp
@@ -0,0 +1,61 @@
+#include "forwarding/waitingroom.h"
+
+#include "property.h"
+
+using namespace Forwarding;
+using namespace std::chrono_literals;
+
+static const WaitingRoom::TimePoint start = WaitingRoom::TimePoint() + 100s;
+
+static Tunnel::TcpPacket syn(std::uint16_t port, std::uint32_t copy = 0)
+{
+    Tunnel::TcpPacket packet;
+    packet.flow = {{0x64400007, port}, {0xc6120001, 443}};
+    packet.syn = true;
+    packet.acknowledgement = copy;
+    return packet;
+}
+
+TEST_GROUP(WaitingRoom){};
+
+TEST(WaitingRoom, TheNewestThatCanBeInTimeGoesFirst)
+{
+    WaitingRoom room;
+    room.hold(start, {}, syn(1, 1));
+    room.hold(start + 1ms, {}, syn(2));
+    room.hold(start + 2ms, {}, syn(3));
+    LONGS_EQUAL(3, room.take(start + 10ms, false)->packet.flow.caller.port);
+    LONGS_EQUAL(2, room.take(start + 10ms, false)->packet.flow.caller.port);
+    CHECK_FALSE(room.take(start + 10ms, false).has_value());
+    LONGS_EQUAL(1, room.take(start + 10ms, true)->packet.flow.caller.port);
+}
+
+TEST(WaitingRoom, WhoWaitedLongIsServedWhenThereIsTimeOldestFirst)
+{
+    WaitingRoom room;
+    room.hold(start, {}, syn(1));
+    room.hold(start + 1ms, {}, syn(2));
+    const auto later = start + 2ms + FreshTime;
+    CHECK_FALSE(room.take(later, false).has_value());
+    LONGS_EQUAL(1, room.take(later, true)->packet.flow.caller.port);
+    LONGS_EQUAL(2, room.take(later, true)->packet.flow.caller.port);
+}
+
+TEST(WaitingRoom, ACopyReplacesTheOneBefore)
+{
+    WaitingRoom room;
+    room.hold(start, {}, syn(1));
+    room.hold(start + 200ms, {}, syn(1, 1));
+    LONGS_EQUAL(1, room.size());
+    LONGS_EQUAL(0, room.expire(start + 300ms).size());
+    LONGS_EQUAL(1, room.expire(start + 600ms).size());
+    LONGS_EQUAL(0, room.size());
+}
+
+TEST(WaitingRoom, HoldsABoundedNumber)
+{
+    WaitingRoom room;
+    for (std::size_t port = 1; port <= MaxHeldSyns; ++port)
+        CHECK_TRUE(room.hold(start, {}, syn(std::uint16_t(port))));
+    CHECK_FALSE(room.hold(start, {}, syn(65000)));
+}
--- /dev/null
+++ b/tests/auto/placement/tst_loadboard.cpp
@@ -0,0 +1,110 @@
+#include "placement/loadboard.h"
+
+#include "property.h"
+
+using namespace Placement;
+using namespace std::chrono_literals;
+
+static const TimePoint start = TimePoint() + 100s;
+
+static Model::Instance instance(const std::string &name, const std::string &domain,
+                                Model::InstanceState state = Model::InstanceState::Ready)
+{
+    Model::Instance instance;
+    instance.name = name;
+    instance.service = "order-desk";
+    instance.failureDomain = domain;
+    instance.tunnel = {0x0a000001, 7000};
+    instance.state = state;
+    return instance;
+}
+
+static Routing::ServiceTable tableOf(std::vector<Model::Instance> instances)
+{
+    Model::Service service;
+    service.name = "order-desk";
+    return {service, std::move(instances)};
+}
+
+static Tunnel::Report load(const std::string &name, std::uint32_t waiting,
+                           std::chrono::microseconds answerTime)
+{
+    Tunnel::Report report;
+    report.sender.instance.name = name;
+    report.waiting = waiting;
+    report.slots = 3;
+    report.answerTime = answerTime;
+    return report;
+}
+
+static bool isFirst(const Routing::Chain &chain, const std::string &name)
+{
+    return !chain.isEmpty() && chain[0].instance == Model::instanceId(name);
+}
+
+TEST_GROUP(LoadBoard){};
+
+TEST(LoadBoard, TheOwnFailureDomainComesFirstWhileItHasRoom)
+{
+    const auto table = tableOf({instance("near", "harbour"), instance("far", "portmore")});
+    LoadBoard board("harbour");
+    board.onReport(start, load("near", 0, 20ms));
+    board.onReport(start, load("far", 0, 20ms));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "near"));
+    board.onReport(start, load("near", 9, 20ms));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "far"));
+}
+
+TEST(LoadBoard, ASlowServerLosesItsShare)
+{
+    const auto table = tableOf({instance("fast", "harbour"), instance("slow", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(start, load("fast", 2, 15ms));
+    board.onReport(start, load("slow", 0, 100ms));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "fast"));
+}
+
+TEST(LoadBoard, FlowsPlacedSinceTheLastReportCount)
+{
+    const auto table = tableOf({instance("a", "harbour"), instance("b", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(start, load("a", 0, 20ms));
+    board.onReport(start, load("b", 1, 20ms));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "a"));
+    for (int flow = 0; flow < 2; ++flow)
+        board.onPlaced(start, Model::instanceId("a"));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "b"));
+}
+
+TEST(LoadBoard, AnAgentThatSaysNothingAfterAFlowIsAskedLast)
+{
+    const auto table = tableOf({instance("dead", "harbour"), instance("alive", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(start, load("dead", 0, 10ms));
+    board.onReport(start, load("alive", 3, 40ms));
+    board.onPlaced(start, Model::instanceId("dead"));
+    CHECK_TRUE(isFirst(board.order(start + PlacementSilence, table, {}), "dead"));
+    CHECK_TRUE(isFirst(board.order(start + PlacementSilence + 1ms, table, {}), "alive"));
+    board.onReport(start + 200ms, load("dead", 0, 10ms));
+    CHECK_TRUE(isFirst(board.order(start + 200ms, table, {}), "dead"));
+}
+
+TEST(LoadBoard, AgentsThatWereTriedComeLast)
+{
+    const auto table = tableOf({instance("a", "harbour"), instance("b", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(start, load("a", 0, 10ms));
+    board.onReport(start, load("b", 5, 50ms));
+    const std::vector tried{Model::instanceId("a")};
+    const auto chain = board.order(start, table, tried);
+    CHECK_TRUE(isFirst(chain, "b"));
+    LONGS_EQUAL(2, chain.size());
+}
+
+TEST(LoadBoard, OnlyReadyAgentsGetNewFlows)
+{
+    const auto table =
+        tableOf({instance("draining", "harbour", Model::InstanceState::Draining),
+                 instance("suspect", "harbour", Model::InstanceState::Suspect)});
+    CHECK_TRUE(LoadBoard("harbour").order(start, table, {}).isEmpty());
+}
--- /dev/null
+++ b/tests/auto/placement/tst_loadmeter.cpp
@@ -0,0 +1,59 @@
+#include "placement/loadmeter.h"
+
+#include "property.h"
+
+using namespace Placement;
+using namespace std::chrono_literals;
+
+static const LoadMeter::TimePoint start = LoadMeter::TimePoint() + 100s;
+
+static Model::FlowKey flow(std::uint16_t port)
+{
+    return {{0x64400007, port}, {0xc6120001, 443}};
+}
+
+TEST_GROUP(LoadMeter){};
+
+TEST(LoadMeter, AFlowWaitsFromItsRequestToItsAnswer)
+{
+    LoadMeter meter;
+    meter.onRequestBytes(start, flow(1));
+    LONGS_EQUAL(1, meter.waiting(start + 5ms));
+    meter.onRequestBytes(start + 10ms, flow(1));
+    const auto taken = meter.onAnswerBytes(start + 30ms, flow(1));
+    LONGS_EQUAL(20000, taken->count());
+    LONGS_EQUAL(0, meter.waiting(start + 30ms));
+    LONGS_EQUAL(20000, meter.answerTime(start + 30ms).count());
+    CHECK_FALSE(meter.onAnswerBytes(start + 31ms, flow(1)).has_value());
+}
+
+TEST(LoadMeter, ANewFlowCountsUntilItsRequestIsOverdue)
+{
+    LoadMeter meter;
+    meter.onOpening(start, flow(1));
+    LONGS_EQUAL(1, meter.waiting(start + ExpectedRequest));
+    LONGS_EQUAL(0, meter.waiting(start + ExpectedRequest + 1ms));
+}
+
+TEST(LoadMeter, AServerThatHangsLooksSlowWithoutAnAnswer)
+{
+    LoadMeter meter;
+    meter.onRequestBytes(start, flow(1));
+    meter.onAnswerBytes(start + 20ms, flow(1));
+    meter.onRequestBytes(start + 30ms, flow(2));
+    CHECK_TRUE(meter.answerTime(start + 830ms) >= 200ms);
+    // Copies of the request do not make it young again.
+    meter.onRequestBytes(start + 820ms, flow(2));
+    CHECK_TRUE(meter.answerTime(start + 830ms) >= 200ms);
+}
+
+TEST(LoadMeter, AServerWithoutWorkIsTriedAgain)
+{
+    LoadMeter meter;
+    meter.onRequestBytes(start, flow(1));
+    meter.onAnswerBytes(start + 800ms, flow(1));
+    LONGS_EQUAL(800000, meter.answerTime(start + 900ms).count());
+    for (int second = 2; second < 8; ++second)
+        meter.answerTime(start + std::chrono::seconds(second));
+    CHECK_TRUE(meter.answerTime(start + 8s) < 30ms);
+}
--- /dev/null
+++ b/tests/auto/platform_adapter/storestandin.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <nlohmann/json.hpp>
+
+#include "model/endpoint.h"
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// Speaks the published protocol of the platform's store with answers that a test lays out, and
+/// notes what was asked.
+class StoreStandin
+{
+public:
+    struct Answer
+    {
+        int status = 200;
+        nlohmann::json body;
+        bool isLost = false; ///< the connection ends without it
+    };
+
+    StoreStandin()
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , server_(new Factory(*this), socket_, new Poco::Net::HTTPServerParams)
+    {
+        server_.start();
+    }
+
+    ~StoreStandin() { server_.stopAll(true); }
+
+    Model::Endpoint endpoint() const { return {0x7f000001, socket_.address().port()}; }
+
+    /// Answers the next call, or the one after those laid out before.
+    void answer(int status, nlohmann::json body, bool isLost = false)
+    {
+        const std::lock_guard guard(mutex_);
+        answers_.push_back({status, std::move(body), isLost});
+    }
+
+    /// Returns "METHOD path body" of each call so far.
+    std::vector<std::string> calls() const
+    {
+        const std::lock_guard guard(mutex_);
+        return calls_;
+    }
+
+private:
+    class Handler : public Poco::Net::HTTPRequestHandler
+    {
+    public:
+        explicit Handler(StoreStandin &standin)
+            : standin_(standin)
+        {}
+
+        void handleRequest(Poco::Net::HTTPServerRequest &request,
+                           Poco::Net::HTTPServerResponse &response) override
+        {
+            std::string body;
+            Poco::StreamCopier::copyToString(request.stream(), body);
+            const Answer answer =
+                standin_.next(request.getMethod() + ' ' + request.getURI() + ' ' + body);
+            if (answer.isLost) {
+                static_cast<Poco::Net::HTTPServerRequest &>(request).response().setKeepAlive(false);
+                throw std::runtime_error("the answer is lost");
+            }
+            const std::string text = answer.body.dump();
+            response.setStatus(Poco::Net::HTTPResponse::HTTPStatus(answer.status));
+            response.sendBuffer(text.data(), text.size());
+        }
+
+    private:
+        StoreStandin &standin_;
+    };
+
+    class Factory : public Poco::Net::HTTPRequestHandlerFactory
+    {
+    public:
+        explicit Factory(StoreStandin &standin)
+            : standin_(standin)
+        {}
+
+        Poco::Net::HTTPRequestHandler *
+        createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+        {
+            return new Handler(standin_);
+        }
+
+    private:
+        StoreStandin &standin_;
+    };
+
+    Answer next(std::string call)
+    {
+        const std::lock_guard guard(mutex_);
+        calls_.push_back(std::move(call));
+        if (answers_.empty())
+            return {503, nlohmann::json::object(), false};
+        Answer answer = answers_.front();
+        answers_.pop_front();
+        return answer;
+    }
+
+    mutable std::mutex mutex_;
+    std::deque<Answer> answers_;
+    std::vector<std::string> calls_;
+    Poco::Net::ServerSocket socket_;
+    Poco::Net::HTTPServer server_;
+};
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -69,7 +69,7 @@
     std::map<std::string, std::uint64_t> counts_;
 };
 
-void Store::handle(HTTPServerRequest &request, HTTPServerResponse &response)
+void Platform::handle(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const std::string path = Poco::URI(request.getURI()).getPath();
     if (path == "/faults")
@@ -103,7 +103,7 @@
         write(key, request, response);
 }
 
-void Store::setFaults(HTTPServerRequest &request, HTTPServerResponse &response)
+void Platform::setFaults(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     const auto json = nlohmann::json::parse(bodyOf(request));
     {
@@ -118,13 +118,13 @@
     sendJson(response, Ok, json);
 }
 
-nlohmann::json Store::counts()
+nlohmann::json Platform::counts()
 {
     const std::lock_guard guard(mutex_);
     return {{"revision", revision_}, {"calls", counts_}};
 }
 
-void Store::list(const std::string &prefix, HTTPServerResponse &response)
+void Platform::list(const std::string &prefix, HTTPServerResponse &response)
 {
     nlohmann::json objects = nlohmann::json::array();
     std::unique_lock lock(mutex_);
@@ -137,7 +137,7 @@
     sendJson(response, Ok, listing);
 }
 
-void Store::watch(HTTPServerRequest &request, HTTPServerResponse &response)
+void Platform::watch(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     auto query = queryOf(request);
     const std::uint64_t after = std::stoull(query["after"]);
@@ -157,7 +157,7 @@
     sendJson(response, Ok, answer);
 }
 
-void Store::read(const std::string &key, HTTPServerResponse &response)
+void Platform::read(const std::string &key, HTTPServerResponse &response)
 {
     std::unique_lock lock(mutex_);
     const auto &objects = faults_.staleReads ? stale_ : objects_;
@@ -172,7 +172,7 @@
     sendJson(response, Ok, stored.value);
 }
 
-bool Store::preconditionHolds(const Stored &stored, const HTTPServerRequest &request) const
+bool Platform::preconditionHolds(const Stored &stored, const HTTPServerRequest &request) const
 {
     if (request.get("If-None-Match", "") == "*")
         return stored.value.is_null();
@@ -181,7 +181,7 @@
            || (!stored.value.is_null() && condition == fmt::format("\"{}\"", stored.version));
 }
 
-void Store::write(const std::string &key, HTTPServerRequest &request,
+void Platform::write(const std::string &key, HTTPServerRequest &request,
                      HTTPServerResponse &response)
 {
     const std::string body = bodyOf(request);
