--- a/src/daemon/forwardingagentprocess.cpp
+++ b/src/daemon/forwardingagentprocess.cpp
@@ -26,8 +26,8 @@
         duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
 }
 
-static Forwarding::AgentCore::Options optionsOf(
-    const Configuration::ForwardingAgentSettings &settings)
+static Forwarding::AgentCore::Options
+optionsOf(const Configuration::ForwardingAgentSettings &settings)
 {
     const Configuration::ForwardingSettings &process = settings.process;
     Forwarding::AgentCore::Options options;
@@ -55,31 +55,29 @@
 static nlohmann::json stateOf(const std::string &name, Traffic &traffic)
 {
     const Forwarding::AgentCounters &counters = traffic.counters();
-    const Forwarding::AgentStatus status = traffic.with([](Forwarding::AgentCore &core) {
-        return core.status(std::chrono::steady_clock::now());
-    });
+    const Forwarding::AgentStatus status = traffic.with(
+        [](Forwarding::AgentCore &core) { return core.status(std::chrono::steady_clock::now()); });
     nlohmann::json drops;
     for (std::size_t cause = 0; cause < counters.drops.size(); ++cause)
         drops[Flows::dropCauseText(Flows::DropCause(cause))] = counters.drops[cause].load();
-    return {{"role", "forwarding-agent"},
-            {"name", name},
-            {"accepting", int(status.isAccepting)},
-            {"waiting", status.waiting},
-            {"answerMicros", status.answerTime.count()},
-            {"omittedLogLines", Observability::omittedLogLines()},
-            {"flows",
-             {{"open", status.openFlows},
-              {"redirects", status.redirects},
-              {"held", status.heldSyns}}},
-            {"packets",
-             {{"received", counters.received.load()},
-              {"unreadable", counters.unreadable.load()},
-              {"delivered", counters.delivered.load()},
-              {"answered", counters.answered.load()},
-              {"returned", counters.returned.load()},
-              {"passedOn", counters.passedOn.load()},
-              {"resets", counters.resets.load()},
-              {"dropped", drops}}}};
+    return {
+        {"role", "forwarding-agent"},
+        {"name", name},
+        {"accepting", int(status.isAccepting)},
+        {"waiting", status.waiting},
+        {"answerMicros", status.answerTime.count()},
+        {"omittedLogLines", Observability::omittedLogLines()},
+        {"flows",
+         {{"open", status.openFlows}, {"redirects", status.redirects}, {"held", status.heldSyns}}},
+        {"packets",
+         {{"received", counters.received.load()},
+          {"unreadable", counters.unreadable.load()},
+          {"delivered", counters.delivered.load()},
+          {"answered", counters.answered.load()},
+          {"returned", counters.returned.load()},
+          {"passedOn", counters.passedOn.load()},
+          {"resets", counters.resets.load()},
+          {"dropped", drops}}}};
 }
 
 /// Logs what a beat changed, and beats that were not taken.
--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -81,23 +81,22 @@
         nlohmann::json agents = nlohmann::json::object();
         for (const Model::Instance &agent : core.roster().agents())
             agents[agent.name] = Model::stateText(agent.state);
-        return nlohmann::json{
-            {"role", "forwarding-balancer"},
-            {"name", name},
-            {"generation", std::uint64_t(core.configuration().generation)},
-            {"routes", core.configuration().routes.size()},
-            {"storeInStep", follower.isInStep()},
-            {"storeCalls", store.callCount()},
-            {"agents", agents},
-            {"balancers", core.roster().balancers().size()},
-            {"cachedFlows", core.cachedFlows()},
-            {"omittedLogLines", Observability::omittedLogLines()},
-            {"packets",
-             {{"received", counters.received.load()},
-              {"forwarded", counters.forwarded.load()},
-              {"unreadable", counters.unreadable.load()},
-              {"resets", counters.resets.load()},
-              {"dropped", counters.dropped.load()}}}};
+        return nlohmann::json{{"role", "forwarding-balancer"},
+                              {"name", name},
+                              {"generation", std::uint64_t(core.configuration().generation)},
+                              {"routes", core.configuration().routes.size()},
+                              {"storeInStep", follower.isInStep()},
+                              {"storeCalls", store.callCount()},
+                              {"agents", agents},
+                              {"balancers", core.roster().balancers().size()},
+                              {"cachedFlows", core.cachedFlows()},
+                              {"omittedLogLines", Observability::omittedLogLines()},
+                              {"packets",
+                               {{"received", counters.received.load()},
+                                {"forwarded", counters.forwarded.load()},
+                                {"unreadable", counters.unreadable.load()},
+                                {"resets", counters.resets.load()},
+                                {"dropped", counters.dropped.load()}}}};
     });
 }
 
@@ -117,8 +116,8 @@
     }
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
-            BOOST_LEAF_AUTO(document, Configuration::Document::parse(
-                                          "peer", std::get<std::string>(page)));
+            BOOST_LEAF_AUTO(document,
+                            Configuration::Document::parse("peer", std::get<std::string>(page)));
             BOOST_LEAF_AUTO(configuration, Configuration::decodeRoutes(document));
             follower.offer(configuration, Model::endpointText(newer->pages));
             return {};
@@ -162,9 +161,7 @@
         process.pages, std::make_shared<ProcessMetrics>(state), state,
         [&follower] { return Configuration::encodeRoutes(follower.current()); });
     log(Level::Info, "started",
-        {{"role", "forwarding-balancer"},
-         {"name", process.name},
-         {"seeds", process.seeds.size()}});
+        {{"role", "forwarding-balancer"}, {"name", process.name}, {"seeds", process.seeds.size()}});
 
     while (true) {
         const ProcessSignal signal = waitForSignal(ControlInterval);
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -78,8 +78,8 @@
 boost::leaf::result<Settings> readSettings(const Document &document)
 {
     ObjectReader reader(document);
-    const std::size_t role = reader.choice(
-        "role", {"balancer", "agent", "forwarding-balancer", "forwarding-agent"});
+    const std::size_t role =
+        reader.choice("role", {"balancer", "agent", "forwarding-balancer", "forwarding-agent"});
     Settings settings;
     switch (role) {
     case 0:
--- a/src/libs/control/clusterview.h
+++ b/src/libs/control/clusterview.h
@@ -2,8 +2,8 @@
 
 #include "configuration/generationgate.h"
 #include "membership/instanceregistry.h"
-#include "store/objectclient.h"
 #include "routing/routingtable.h"
+#include "store/objectclient.h"
 #include "tunnel/datagram.h"
 
 #include <chrono>
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -39,15 +39,11 @@
 /// Flows that one backend server may hold, as the services' connections are bounded.
 static constexpr std::size_t MaxOpenFlows = 2000;
 
-/// Waiting requests beyond the slots up to which an agent takes a new flow itself, instead of offering
-/// it to the next of its chain, and up to which it admits callers that are late already: enough that
-/// no slot idles during a handshake.
+/// Waiting requests beyond the slots up to which an agent takes a new flow. One keeps a slot from
+/// idling during a handshake; more would wait at the backend server in the order of their arrival,
+/// where a later one that can still be in time can't go first.
 static constexpr std::uint32_t SpareWaiting = 1;
 
-/// Waiting requests per slot from which an agent takes no new flow at all. One more would wait for
-/// about half of the tightest latency objective, 120 ms at 20 to 30 ms a request.
-static constexpr std::uint32_t MostWaitingPerSlot = 2;
-
 /// Times its interval that a beat may be late.
 static constexpr int BeatMargin = 2;
 
@@ -88,15 +84,15 @@
     return backend_ && !backend_->isDraining && !hasLeft_ && !isSilent;
 }
 
-Flows::Room AgentCore::room(TimePoint now, const Tunnel::TcpPacket &packet)
+bool AgentCore::hasSpare(TimePoint now)
 {
     const std::uint32_t slots = backend_ ? std::max(1u, backend_->slots) : 1;
-    const std::uint32_t waiting = meter_.waiting(now);
-    const bool hasSpare = waiting < slots + SpareWaiting;
-    // Later copies are late already; first ones may still be in time.
-    const bool mayWait = WaitingRoom::isFirstCopy(packet) && waiting < MostWaitingPerSlot * slots;
-    return {isAccepting(now), hasSpare,
-            (hasSpare || mayWait) && director_.openCount() < MaxOpenFlows};
+    return meter_.waiting(now) < slots + SpareWaiting;
+}
+
+Flows::Room AgentCore::room(TimePoint now)
+{
+    return {isAccepting(now), hasSpare(now), hasSpare(now) && director_.openCount() < MaxOpenFlows};
 }
 
 AgentVerdict AgentCore::onCallerPacket(TimePoint now, Model::ServiceId service,
@@ -104,7 +100,7 @@
                                        const Tunnel::TcpPacket &packet)
 {
     const bool wasOwned = director_.owns(packet.flow);
-    const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now, packet));
+    const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now));
     if (!wasOwned && director_.owns(packet.flow))
         claimAtRegistrar(packet.flow);
     return act(now, decision, header, packet);
@@ -169,8 +165,8 @@
         meter_.onRequestBytes(now, packet.flow);
     }
     if (director_.owns(packet.flow)) {
-        FlowTrack &track = tracks_.try_emplace(packet.flow, FlowTrack{now, 0, {}, false, false, {}})
-                               .first->second;
+        FlowTrack &track =
+            tracks_.try_emplace(packet.flow, FlowTrack{now, 0, {}, false, false, {}}).first->second;
         track.acknowledgement = packet.acknowledgement;
         track.callerEnded |= packet.fin || packet.rst;
         noteEnded(now, track);
@@ -220,8 +216,8 @@
     if (known) {
         header = *known;
     } else {
-        const auto kind = packet.opensFlow() ? Routing::PacketKind::OpensFlow
-                                             : Routing::PacketKind::OfFlow;
+        const auto kind =
+            packet.opensFlow() ? Routing::PacketKind::OpensFlow : Routing::PacketKind::OfFlow;
         header.chain = table_->chainFor(Model::flowHash(packet.flow), kind);
         header.opensFlow = packet.opensFlow();
         if (header.chain.isEmpty())
@@ -236,8 +232,8 @@
         return BeatOutcome::OtherPlace;
     if (backend_) {
         const bool isSameStart = beat.id == backend_->id && beat.bornMs == backend_->bornMs;
-        const bool isOvertaken = isSameStart ? beat.sequence <= backend_->sequence
-                                             : beat.bornMs <= backend_->bornMs;
+        const bool isOvertaken =
+            isSameStart ? beat.sequence <= backend_->sequence : beat.bornMs <= backend_->bornMs;
         if (isOvertaken)
             return BeatOutcome::Overtaken;
         if (!isSameStart) {
@@ -266,8 +262,8 @@
     pacer_.onUrgentChange();
 }
 
-/// Ends the flows of a backend server that was replaced. Those that may be its successor's are asked
-/// for again by their next packet.
+/// Ends the flows of a backend server that was replaced. Those that may be its successor's are
+/// asked for again by their next packet.
 void AgentCore::endFlowsBefore(TimePoint limit)
 {
     for (const Model::FlowKey &flow : director_.ownedFlows()) {
@@ -306,7 +302,6 @@
         if (roster_.onPart(now, *part) || isFirst) {
             viewChanged_ = now;
             rebuild();
-
         }
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         if (datagram.service == service_)
@@ -355,12 +350,8 @@
 std::vector<AdmittedFlow> AgentCore::takeAdmitted(TimePoint now)
 {
     std::vector<AdmittedFlow> admitted;
-    while (waitingRoom_.size() > 0 && isAccepting(now)) {
-        const std::uint32_t slots = std::max(1u, backend_->slots);
-        const std::uint32_t waiting = meter_.waiting(now);
-        if (waiting >= MostWaitingPerSlot * slots)
-            break;
-        const auto held = waitingRoom_.take(now, waiting < slots + SpareWaiting);
+    while (isAccepting(now) && hasSpare(now)) {
+        const auto held = waitingRoom_.take(now);
         if (!held)
             break;
         const Flows::Decision decision =
@@ -445,7 +436,7 @@
 
 AgentStatus AgentCore::status(TimePoint now)
 {
-    return {isAccepting(now), meter_.waiting(now), director_.openCount(),
+    return {isAccepting(now),          meter_.waiting(now), director_.openCount(),
             director_.redirectCount(), waitingRoom_.size(), meter_.answerTime(now)};
 }
 
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -60,8 +60,8 @@
 struct HoldPacket
 {};
 
-using AgentVerdict = std::variant<DeliverToBackend, SendToCaller, SendOn, ResetFlow, HoldPacket,
-                                  Flows::DropCause>;
+using AgentVerdict =
+    std::variant<DeliverToBackend, SendToCaller, SendOn, ResetFlow, HoldPacket, Flows::DropCause>;
 
 /// A held packet that is delivered now.
 struct AdmittedFlow
@@ -94,8 +94,8 @@
     {
         Tunnel::Member self;
         Model::Endpoint backend;
-        bool isFirstStart = false; ///< no backend server can hold flows from before
-        std::chrono::seconds longestFlow{0}; ///< flows from before this start last no longer
+        bool isFirstStart = false;                 ///< no backend server can hold flows from before
+        std::chrono::seconds longestFlow{0};       ///< flows from before this start last no longer
         std::chrono::milliseconds beatInterval{0}; ///< of the backend server
     };
 
@@ -134,7 +134,8 @@
     /// Returns the control datagrams that are due now.
     std::vector<Outgoing> tick(TimePoint now);
 
-    /// Returns flows of a backend server that ended, whose callers are to be told; empties the list.
+    /// Returns flows of a backend server that ended, whose callers are to be told; empties the
+    /// list.
     std::vector<ResetFlow> takeResets();
 
     /// Returns the reports of a process that ends.
@@ -150,7 +151,7 @@
     /// What the agent keeps of an open flow besides its owner.
     struct FlowTrack
     {
-        TimePoint since; ///< when the flow was first seen to be open
+        TimePoint since;                   ///< when the flow was first seen to be open
         std::uint32_t acknowledgement = 0; ///< the caller's latest
         TimePoint lastOriginNotice;
         bool callerEnded = false;
@@ -166,7 +167,8 @@
     void noteEnded(TimePoint now, FlowTrack &track);
     AgentVerdict deliver(TimePoint now, const Tunnel::PacketHeader &header,
                          const Tunnel::TcpPacket &packet);
-    Flows::Room room(TimePoint now, const Tunnel::TcpPacket &packet);
+    Flows::Room room(TimePoint now);
+    bool hasSpare(TimePoint now);
     void claimAtRegistrar(const Model::FlowKey &flow);
     void forgetFlow(const Model::FlowKey &flow);
     void endFlowsBefore(TimePoint limit);
@@ -188,8 +190,8 @@
     std::optional<BackendBeat> backend_;
     bool hasLeft_ = false;
     TimePoint started_;
-    std::optional<TimePoint> viewChanged_; ///< the latest change of the roster by a balancer
-    TimePoint lastBackendSign_;   ///< the latest packet or beat of the backend server
+    std::optional<TimePoint> viewChanged_;   ///< the latest change of the roster by a balancer
+    TimePoint lastBackendSign_;              ///< the latest packet or beat of the backend server
     std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
     std::map<Model::Endpoint, std::vector<Tunnel::ClaimedFlow>> claims_;
     std::vector<ResetFlow> resets_;
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -84,8 +84,7 @@
 
 BalancerVerdict BalancerCore::onSyn(TimePoint now, const Tunnel::TcpPacket &packet)
 {
-    const auto *const service =
-        table_->pick(packet.flow.service, Model::flowHash(packet.flow));
+    const auto *const service = table_->pick(packet.flow.service, Model::flowHash(packet.flow));
     if (!service) {
         const bool wasDropped = formerRoutes_.contains(packet.flow.service);
         if (wasDropped || packet.acknowledgement >= LastSynCopy)
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -52,8 +52,8 @@
 /// Decides on a balancer where callers' packets go.
 ///
 /// A new flow is offered to the agent that answers first, each copy of its SYN to another one.
-/// Packets of open flows go to the agent they went to before, or else to the first-ranked one, which
-/// knows the owner or finds it. Without sockets, threads or clocks; not thread-safe.
+/// Packets of open flows go to the agent they went to before, or else to the first-ranked one,
+/// which knows the owner or finds it. Without sockets, threads or clocks; not thread-safe.
 class BalancerCore
 {
 public:
--- a/src/libs/forwarding/balancertraffic.h
+++ b/src/libs/forwarding/balancertraffic.h
@@ -109,9 +109,8 @@
     void sendReset(const ResetFlow &reset)
     {
         ++counters_.resets;
-        Tunnel::sendDatagram(callers_.descriptor(),
-                             Codec::reset(reset.flow, reset.acknowledgement), {},
-                             {reset.flow.caller.address, callerPort_});
+        Tunnel::sendDatagram(callers_.descriptor(), Codec::reset(reset.flow, reset.acknowledgement),
+                             {}, {reset.flow.caller.address, callerPort_});
     }
 
     void takeControl(TimePoint now, const Tunnel::ReceiveBatch &batch, std::size_t count)
--- a/src/libs/forwarding/controlpacer.h
+++ b/src/libs/forwarding/controlpacer.h
@@ -19,12 +19,13 @@
 /// that placement sees stays near the running time of two requests.
 constexpr std::chrono::milliseconds ReportSpacing{40};
 
-/// Reports on changes of load that a process sends a second at most, over all receivers: bounds what
-/// they cost the smallest instance of a balancer at the number of agents of its failure domain.
+/// Reports on changes of load that a process sends a second at most, over all receivers: bounds
+/// what they cost the smallest instance of a balancer at the number of agents of its failure
+/// domain.
 constexpr std::size_t ReportsPerSecond = 50;
 
-/// How often a process reports to a seed that it does not know yet, right after its start and later:
-/// a system that starts as a whole is to serve within a second.
+/// How often a process reports to a seed that it does not know yet, right after its start and
+/// later: a system that starts as a whole is to serve within a second.
 constexpr std::chrono::milliseconds FirstSeedInterval{40};
 constexpr std::chrono::milliseconds SeedInterval{300};
 
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -74,10 +74,9 @@
     const std::string outcome = sendOn  ? hopText(*sendOn)
                                 : cause ? Flows::dropCauseText(*cause)
                                         : "reset";
-    logDecisionLine(Level::Info, "packet-returned",
-                    {{"flow", Model::flowText(packet.flow)},
-                     {"kind", kindText(packet)},
-                     {"outcome", outcome}});
+    logDecisionLine(
+        Level::Info, "packet-returned",
+        {{"flow", Model::flowText(packet.flow)}, {"kind", kindText(packet)}, {"outcome", outcome}});
 }
 
 void logAdmitted(const Model::FlowKey &flow)
--- a/src/libs/forwarding/packetcodec.h
+++ b/src/libs/forwarding/packetcodec.h
@@ -20,9 +20,9 @@
 {
     Model::Endpoint source;
     Model::Endpoint destination;
-    Tunnel::TcpPacket segment;  ///< its flow is left empty; see callerSegment()
-    bool isReturned = false;    ///< the backend server does not hold the flow or can't accept it
-    DeliveryMark mark{};        ///< as it was set before the delivery
+    Tunnel::TcpPacket segment; ///< its flow is left empty; see callerSegment()
+    bool isReturned = false;   ///< the backend server does not hold the flow or can't accept it
+    DeliveryMark mark{};       ///< as it was set before the delivery
 };
 
 /// Reads and writes the few fields of a packet that forwarding needs. All functions are
--- a/src/libs/forwarding/waitingroom.cpp
+++ b/src/libs/forwarding/waitingroom.cpp
@@ -29,7 +29,7 @@
     return true;
 }
 
-std::optional<WaitingRoom::HeldSyn> WaitingRoom::take(TimePoint now, bool takesLate)
+std::optional<WaitingRoom::HeldSyn> WaitingRoom::take(TimePoint now)
 {
     while (!fresh_.empty() && now - fresh_.front().since > FreshTime) {
         late_.push_back(std::move(fresh_.front()));
@@ -40,7 +40,7 @@
         fresh_.pop_back();
         return held;
     }
-    if (!takesLate || late_.empty())
+    if (late_.empty())
         return std::nullopt;
     HeldSyn held = std::move(late_.front());
     late_.pop_front();
--- a/src/libs/forwarding/waitingroom.h
+++ b/src/libs/forwarding/waitingroom.h
@@ -21,8 +21,9 @@
 /// Holds SYNs while every agent that they were offered to is full.
 ///
 /// Answers swings and recoveries, in which more callers come than can be served at once: a caller
-/// would send its SYN again only after 200 ms, while a slot is free in a few. The newest goes first:
-/// when more come than can be served, serving the oldest first would make all of them late. Not thread-safe.
+/// would send its SYN again only after 200 ms, while a slot is free in a few. The newest goes
+/// first: when more come than can be served, serving the oldest first would make all of them late.
+/// Not thread-safe.
 class WaitingRoom
 {
 public:
@@ -37,17 +38,14 @@
     };
 
     /// Whether \a packet is the first copy of its SYN.
-    static bool isFirstCopy(const Tunnel::TcpPacket &packet)
-    {
-        return packet.acknowledgement == 0;
-    }
+    static bool isFirstCopy(const Tunnel::TcpPacket &packet) { return packet.acknowledgement == 0; }
 
     /// Holds \a packet in place of an earlier copy of it. Returns whether there was room.
     bool hold(TimePoint now, const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
 
-    /// Returns the SYN to be accepted next: the newest one that may still be served in time, or the
-    /// oldest of the others if \a takesLate.
-    std::optional<HeldSyn> take(TimePoint now, bool takesLate);
+    /// Returns the SYN to be accepted next: the newest one that may still be served in time, or
+    /// else the oldest of the others.
+    std::optional<HeldSyn> take(TimePoint now);
 
     /// Returns the flows whose SYNs were held in vain; they are forgotten.
     std::vector<Model::FlowKey> expire(TimePoint now);
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -52,8 +52,8 @@
     }
     Entry &entry = known->second;
     const auto incarnation = entry.member.instance.incarnation;
-    const bool isLate = member.instance.incarnation < incarnation
-                        && now - entry.lastHeard < LateDatagramLimit;
+    const bool isLate =
+        member.instance.incarnation < incarnation && now - entry.lastHeard < LateDatagramLimit;
     const bool isOvertaken =
         member.instance.incarnation == incarnation && report.number < entry.number;
     if (isLate || isOvertaken)
@@ -140,9 +140,12 @@
         changed |= isSuspect != entry.isSuspect;
         entry.isSuspect = isSuspect;
     }
-    changed |= std::erase_if(entries_, [now](const auto &entry) {
-                   return now - entry.second.lastHeard >= silenceLimit(entry.second.member);
-               }) > 0;
+    changed |=
+        std::erase_if(entries_,
+                      [now](const auto &entry) {
+                          return now - entry.second.lastHeard >= silenceLimit(entry.second.member);
+                      })
+        > 0;
     std::erase_if(left_,
                   [now](const auto &entry) { return now - entry.second.since >= LeftLifetime; });
     return changed;
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -17,9 +17,9 @@
 /// Silence after which a member gets no new work: three reports lost or late.
 constexpr std::chrono::milliseconds SuspectSilence{3 * ReportInterval};
 
-/// Silence after which an agent that said nothing of an end counts as lost, with its backend server:
-/// five reports missed. It lies below the shortest deadline of a request, 2 s, so that a caller that
-/// may repeat its request is told in time.
+/// Silence after which an agent that said nothing of an end counts as lost, with its backend
+/// server: five reports missed. It lies below the shortest deadline of a request, 2 s, so that a
+/// caller that may repeat its request is told in time.
 constexpr std::chrono::milliseconds LostSilence{5 * ReportInterval};
 
 /// Silence after which a member that said that it stops, or a balancer, counts as gone: longer than
@@ -84,7 +84,7 @@
         Tunnel::Member member;
         TimePoint lastHeard;
         bool isSuspect = false;
-        std::uint64_t number = 0; ///< of the latest report heard from the member itself
+        std::uint64_t number = 0;        ///< of the latest report heard from the member itself
         std::set<std::string> omittedBy; ///< balancers that left it out, on an agent
     };
 
--- a/src/libs/operations/acceptance.h
+++ b/src/libs/operations/acceptance.h
@@ -73,7 +73,7 @@
     };
     const auto written =
         Store::writeOnce(client, key, Configuration::encodeConfiguration(candidate).dump(),
-                            precondition, contains, pause);
+                         precondition, contains, pause);
     switch (written.outcome) {
     case Store::WriteOutcome::Written:
         return {Acceptance::InForce, candidate.generation};
--- a/src/libs/placement/loadboard.h
+++ b/src/libs/placement/loadboard.h
@@ -15,8 +15,8 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 
 /// What an answer from another failure domain may take longer before it is worth the bytes that
-/// then cross domains: a sixth of the tightest latency objective of the deployments, 120 ms.
-constexpr std::chrono::milliseconds OtherDomainCost{20};
+/// then cross domains: a third of the tightest latency objective of the deployments, 120 ms.
+constexpr std::chrono::milliseconds OtherDomainCost{40};
 
 /// Answer time assumed of an agent that has not answered anything yet: the mean running time of the
 /// deployments' requests, and a half more for a cold start.
@@ -53,12 +53,12 @@
 private:
     struct Load
     {
-        double waiting = 0;         ///< at the last report
-        double usualWaiting = 0;    ///< smoothed
+        double waiting = 0;      ///< at the last report
+        double usualWaiting = 0; ///< smoothed
         double slots = 1;
-        double placedSince = 0;     ///< flows placed after the last report
+        double placedSince = 0; ///< flows placed after the last report
         std::chrono::microseconds answerTime{0};
-        TimePoint placedFirst;      ///< the first placement after the last report
+        TimePoint placedFirst; ///< the first placement after the last report
     };
 
     double costOf(TimePoint now, const Model::Instance &instance, Model::InstanceId id) const;
--- a/src/libs/placement/loadmeter.cpp
+++ b/src/libs/placement/loadmeter.cpp
@@ -37,8 +37,8 @@
     if (request == requests_.end())
         return std::nullopt;
     const bool hadBytes = request->second.hasBytes;
-    const auto taken = std::chrono::duration_cast<std::chrono::microseconds>(
-        now - request->second.lastBytes);
+    const auto taken =
+        std::chrono::duration_cast<std::chrono::microseconds>(now - request->second.lastBytes);
     requests_.erase(request);
     if (!hadBytes)
         return std::nullopt;
--- a/src/libs/store/httpobjectclient.cpp
+++ b/src/libs/store/httpobjectclient.cpp
@@ -57,7 +57,8 @@
 
 boost::leaf::result<Object> HttpObjectClient::read(const std::string &key)
 {
-    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, "/v1/objects/" + encoded(key), {}, {}, {}}));
+    BOOST_LEAF_AUTO(answer,
+                    call({HTTPRequest::HTTP_GET, "/v1/objects/" + encoded(key), {}, {}, {}}));
     const auto version = parseEntityTag(answer.entityTag);
     if (!version)
         return boost::leaf::new_error(Failure{FailureKind::Malformed});
@@ -67,7 +68,8 @@
 boost::leaf::result<Listing> HttpObjectClient::list(const std::string &prefix,
                                                     const std::string &path)
 {
-    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_GET, path + "?prefix=" + encoded(prefix), {}, {}, {}}));
+    BOOST_LEAF_AUTO(answer,
+                    call({HTTPRequest::HTTP_GET, path + "?prefix=" + encoded(prefix), {}, {}, {}}));
     try {
         const auto json = nlohmann::json::parse(answer.body);
         Listing listing;
@@ -92,8 +94,11 @@
         condition.emplace("If-Match", entityTag(ifVersion->version));
     else
         condition.emplace("If-None-Match", "*");
-    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_PUT, "/v1/objects/" + encoded(key), value,
-                                  std::move(condition), {}}));
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_PUT,
+                                  "/v1/objects/" + encoded(key),
+                                  value,
+                                  std::move(condition),
+                                  {}}));
     const auto version = parseEntityTag(answer.entityTag);
     if (!version)
         return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
@@ -102,8 +107,11 @@
 
 boost::leaf::result<Version> HttpObjectClient::remove(const std::string &key, Version version)
 {
-    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_DELETE, "/v1/objects/" + encoded(key), {},
-                                  {{"If-Match", entityTag(version)}}, {}}));
+    BOOST_LEAF_AUTO(answer, call({HTTPRequest::HTTP_DELETE,
+                                  "/v1/objects/" + encoded(key),
+                                  {},
+                                  {{"If-Match", entityTag(version)}},
+                                  {}}));
     const auto deletion = parseEntityTag(answer.entityTag);
     if (!deletion)
         return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -83,10 +83,10 @@
 struct Report
 {
     Member sender;
-    std::uint64_t number = 0;  ///< grows within one incarnation
-    std::uint32_t waiting = 0; ///< flows with a request that is not answered yet
-    std::uint32_t open = 0;    ///< flows
-    std::uint32_t slots = 0;   ///< requests that the backend server runs at once
+    std::uint64_t number = 0;                ///< grows within one incarnation
+    std::uint32_t waiting = 0;               ///< flows with a request that is not answered yet
+    std::uint32_t open = 0;                  ///< flows
+    std::uint32_t slots = 0;                 ///< requests that the backend server runs at once
     std::chrono::microseconds answerTime{0}; ///< smoothed, from a request's end to its answer
     std::uint64_t rosterDigest = 0;
     bool wantsRoster = false; ///< the receiver sends its roster where the digests differ
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -42,7 +42,7 @@
     }
 
     boost::leaf::result<Store::Version> write(const std::string &, const std::string &value,
-                                                 Store::Precondition precondition)
+                                              Store::Precondition precondition)
     {
         interfere();
         if (writesFail_)
@@ -63,7 +63,7 @@
         return version;
     }
     boost::leaf::result<Store::Changes> watch(const std::string &, Store::Revision,
-                                                 std::chrono::milliseconds)
+                                              std::chrono::milliseconds)
     {
         return Store::Changes{};
     }
