Requests are named in the logs, a tool follows them, settings name all their problems

Cause: a complaint names a request, but the lines named flows only; a misspelt settings key was reported as a missing one alone. The agent reads the request's id for its log; gypsumwing trace ID LOGS prints the way; answer times are a histogram at the metrics address.

--- a/src/daemon/forwardingagentprocess.cpp
+++ b/src/daemon/forwardingagentprocess.cpp
@@ -119,8 +119,12 @@
              });
          }});
     const auto state = [&] { return stateOf(process.name, traffic); };
-    const Observability::AdminServer pages(process.pages, std::make_shared<ProcessMetrics>(state),
-                                           state, [] { return nlohmann::json::object(); });
+    const auto metrics = std::make_shared<ProcessMetrics>(state);
+    metrics->add("answer-seconds", "Time from a request's last bytes to its answer.",
+                 traffic.answerSeconds());
+    const auto noSnapshot = [] { return nlohmann::json::object(); };
+    const Observability::AdminServer pages(process.pages, metrics, state, noSnapshot);
+    const Observability::AdminServer metricsPage(process.metrics, metrics, state, noSnapshot);
     log(Level::Info, "started",
         {{"role", "forwarding-agent"},
          {"name", process.name},
--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -157,9 +157,10 @@
          {},
          {}});
     const auto state = [&] { return stateOf(process.name, traffic, follower, store); };
-    const Observability::AdminServer pages(
-        process.pages, std::make_shared<ProcessMetrics>(state), state,
-        [&follower] { return Configuration::encodeRoutes(follower.current()); });
+    const auto metrics = std::make_shared<ProcessMetrics>(state);
+    const auto snapshot = [&follower] { return Configuration::encodeRoutes(follower.current()); };
+    const Observability::AdminServer pages(process.pages, metrics, state, snapshot);
+    const Observability::AdminServer metricsPage(process.metrics, metrics, state, snapshot);
     log(Level::Info, "started",
         {{"role", "forwarding-balancer"}, {"name", process.name}, {"seeds", process.seeds.size()}});
 
--- a/src/daemon/processmetrics.cpp
+++ b/src/daemon/processmetrics.cpp
@@ -68,10 +68,21 @@
     : state_(std::move(state))
 {}
 
+void ProcessMetrics::add(const std::string &name, const std::string &help,
+                         prometheus::Histogram &histogram)
+{
+    histograms_.push_back({name, help, &histogram});
+}
+
 std::vector<MetricFamily> ProcessMetrics::Collect() const
 {
     std::vector<MetricFamily> families;
     collect(state_(), "", families);
+    for (const NamedHistogram &named : histograms_)
+        families.push_back({metricName('/' + named.name),
+                            named.help,
+                            MetricType::Histogram,
+                            {named.histogram->Collect()}});
     return families;
 }
 
--- a/src/daemon/processmetrics.h
+++ b/src/daemon/processmetrics.h
@@ -2,10 +2,12 @@
 
 #include <nlohmann/json.hpp>
 #include <prometheus/collectable.h>
+#include <prometheus/histogram.h>
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Daemon {
 
@@ -19,10 +21,22 @@
     /// \a state returns the dump; called on the admin server's threads.
     explicit ProcessMetrics(std::function<nlohmann::json()> state);
 
+    /// Offers \a histogram as gypsumwing_<name> too. Called before the first Collect(); \a
+    /// histogram must outlive this object.
+    void add(const std::string &name, const std::string &help, prometheus::Histogram &histogram);
+
     std::vector<prometheus::MetricFamily> Collect() const override;
 
 private:
+    struct NamedHistogram
+    {
+        std::string name;
+        std::string help;
+        prometheus::Histogram *histogram = nullptr;
+    };
+
     std::function<nlohmann::json()> state_;
+    std::vector<NamedHistogram> histograms_;
 };
 
 } // namespace Daemon
--- a/src/libs/configuration/checkedjson.cpp
+++ b/src/libs/configuration/checkedjson.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <limits>
+#include <numeric>
 #include <sstream>
 
 namespace Configuration {
@@ -46,6 +47,8 @@
     text += std::string(": ") + problemText(error.problem);
     if (!error.detail.empty())
         text += " (" + error.detail + ')';
+    for (const FileError &other : error.others)
+        text += '\n' + errorText(other);
     return text;
 }
 
@@ -188,7 +191,7 @@
     } catch (const nlohmann::json::parse_error &error) {
         const std::size_t end = std::min(error.byte, text.size());
         line += std::size_t(std::count(text.begin(), text.begin() + std::ptrdiff_t(end), '\n'));
-        return boost::leaf::new_error(FileError{Problem::Syntax, document.file_, line, {}, {}});
+        return boost::leaf::new_error(FileError{Problem::Syntax, document.file_, line, {}, {}, {}});
     }
     LineRecorder recorder(&line, &document.lines_);
     nlohmann::json::sax_parse(LineCountingIterator(text.data(), &line),
@@ -201,7 +204,7 @@
 {
     std::ifstream stream(path, std::ios::binary);
     if (!stream)
-        return boost::leaf::new_error(FileError{Problem::Unreadable, path, 0, {}, {}});
+        return boost::leaf::new_error(FileError{Problem::Unreadable, path, 0, {}, {}, {}});
     std::ostringstream content;
     content << stream.rdbuf();
     return parse(path, content.str());
@@ -219,6 +222,9 @@
     }
 }
 
+/// Letters by which a misspelt key may differ.
+static constexpr std::size_t MostTypos = 3;
+
 ObjectReader::ObjectReader(const Document &document)
     : ObjectReader(document, document.root(), {}, std::make_shared<Report>())
 {}
@@ -251,9 +257,15 @@
 
 void ObjectReader::report(const std::string &pointer, Problem problem, std::string detail)
 {
-    if (!report_->first)
-        report_->first = FileError{problem, document_->file(), document_->lineOf(pointer), pointer,
-                                   std::move(detail)};
+    const auto isSame = [&pointer](const FileError &known) { return known.key == pointer; };
+    auto &problems = report_->problems;
+    if (std::none_of(problems.begin(), problems.end(), isSame))
+        problems.push_back({problem,
+                            document_->file(),
+                            document_->lineOf(pointer),
+                            pointer,
+                            std::move(detail),
+                            {}});
 }
 
 void ObjectReader::refuse(const std::string &key, Problem problem, std::string detail)
@@ -422,11 +434,55 @@
 {
     if (object_->is_object()) {
         for (const auto &[key, value] : object_->items()) {
-            if (!read_.contains(key))
-                refuse(key, Problem::UnknownKey);
+            if (read_.contains(key))
+                continue;
+            const std::string nearest = nearestKey(key);
+            refuse(key, Problem::UnknownKey,
+                   nearest.empty() ? "" : "did you mean " + nearest + "?");
+        }
+    }
+    if (report_->problems.empty())
+        return std::nullopt;
+    FileError first = report_->problems.front();
+    first.others.assign(report_->problems.begin() + 1, report_->problems.end());
+    std::stable_sort(first.others.begin(), first.others.end(),
+                     [](const auto &left, const auto &right) { return left.line < right.line; });
+    return first;
+}
+
+std::optional<FileError> ObjectReader::problemSoFar() const
+{
+    return report_->problems.empty() ? std::nullopt : std::optional(report_->problems.front());
+}
+
+/// Returns the number of letters to insert, remove or change to make \a right of \a left.
+static std::size_t editDistance(const std::string &left, const std::string &right)
+{
+    std::vector<std::size_t> row(right.size() + 1);
+    std::iota(row.begin(), row.end(), 0);
+    for (std::size_t i = 1; i <= left.size(); ++i) {
+        std::size_t diagonal = row[0]++;
+        for (std::size_t j = 1; j <= right.size(); ++j) {
+            const std::size_t changed = diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
+            diagonal = row[j];
+            row[j] = std::min({changed, row[j] + 1, row[j - 1] + 1});
+        }
+    }
+    return row.back();
+}
+
+/// Returns the key that was asked for and is missing, if one looks like \a key.
+std::string ObjectReader::nearestKey(const std::string &key) const
+{
+    std::string nearest;
+    std::size_t best = MostTypos + 1;
+    for (const std::string &known : read_) {
+        if (const auto distance = editDistance(key, known); distance < best && !has(known)) {
+            nearest = known;
+            best = distance;
         }
     }
-    return report_->first;
+    return nearest;
 }
 
 } // namespace Configuration
--- a/src/libs/configuration/checkedjson.h
+++ b/src/libs/configuration/checkedjson.h
@@ -37,12 +37,14 @@
 {
     Problem problem{};
     std::string file;
-    std::size_t line = 0; ///< from 1; 0 where the file as a whole is meant
-    std::string key;      ///< JSON pointer
-    std::string detail;   ///< value or limits, may be empty
+    std::size_t line = 0;          ///< from 1; 0 where the file as a whole is meant
+    std::string key;               ///< JSON pointer
+    std::string detail;            ///< value or limits, may be empty
+    std::vector<FileError> others; ///< further problems of the same file, by line
 };
 
-/// Writes \a error as "file:line: key: problem (detail)". Thread-safe.
+/// Writes \a error as "file:line: key: problem (detail)", and each further problem on a line of its
+/// own. Thread-safe.
 std::string errorText(const FileError &error);
 
 /// Parsed JSON with comments that knows the line of each value.
@@ -67,7 +69,7 @@
     std::map<std::string, std::size_t> lines_;
 };
 
-/// Reads the members of one JSON object and notes the first problem.
+/// Reads the members of one JSON object and notes the problems.
 ///
 /// Reading methods return a default value after a problem, so that a reader asks for problem() once
 /// at the end. Not thread-safe.
@@ -103,13 +105,17 @@
     /// Notes a problem with the value at \a key that only the caller can see.
     void refuse(const std::string &key, Problem problem, std::string detail = {});
 
-    /// Returns the first problem of this reader and those made from it, unread keys included.
+    /// Returns the first problem of this reader and those made from it, unread keys included, with
+    /// the others in it. An unread key is compared with those that were asked for.
     std::optional<FileError> problem();
 
+    /// Returns the problem that was noted first, if any; unread keys are no problem yet.
+    std::optional<FileError> problemSoFar() const;
+
 private:
     struct Report
     {
-        std::optional<FileError> first;
+        std::vector<FileError> problems; ///< as they were found
     };
 
     ObjectReader(const Document &document, const nlohmann::json &object, std::string pointer,
@@ -117,6 +123,7 @@
 
     const nlohmann::json *member(const std::string &key, bool required);
     void report(const std::string &pointer, Problem problem, std::string detail);
+    std::string nearestKey(const std::string &key) const;
 
     const Document *document_;
     const nlohmann::json *object_;
--- a/src/libs/configuration/routeconfiguration.cpp
+++ b/src/libs/configuration/routeconfiguration.cpp
@@ -24,6 +24,12 @@
             {"routes", std::move(routes)}};
 }
 
+static bool hasNoRoutes(const nlohmann::json &root)
+{
+    return root.is_object() && root.contains("routes") && root["routes"].is_array()
+           && root["routes"].empty();
+}
+
 boost::leaf::result<Model::Configuration> decodeRoutes(const Document &document)
 {
     ObjectReader reader(document);
@@ -36,7 +42,13 @@
         service.name = name;
         configuration.services.push_back(std::move(service));
     }
-    for (ObjectReader &entry : reader.objects("routes")) {
+    // A configuration without routes is valid; objects() wants at least one.
+    std::vector<ObjectReader> entries;
+    if (hasNoRoutes(document.root()))
+        reader.strings("routes");
+    else
+        entries = reader.objects("routes");
+    for (ObjectReader &entry : entries) {
         Model::Route route;
         route.address = entry.endpoint("address");
         for (ObjectReader &target : entry.objects("targets")) {
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -52,6 +52,7 @@
     process.failureDomain = reader.string("failureDomain");
     process.tunnel = reader.endpoint("tunnel");
     process.pages = reader.endpoint("pages");
+    process.metrics = reader.endpoint("metrics");
     process.store = reader.endpoint("store");
     process.callers = reader.endpoint("callers");
     process.readiness = reader.endpoint("readiness");
@@ -80,6 +81,9 @@
     ObjectReader reader(document);
     const std::size_t role =
         reader.choice("role", {"balancer", "agent", "forwarding-balancer", "forwarding-agent"});
+    // Which keys are known depends on the role.
+    if (auto problem = reader.problemSoFar())
+        return boost::leaf::new_error(std::move(*problem));
     Settings settings;
     switch (role) {
     case 0:
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -45,7 +45,8 @@
     std::string name;
     std::string failureDomain;
     Model::Endpoint tunnel;             ///< where datagrams of other processes arrive
-    Model::Endpoint pages;              ///< HTTP: metrics, state dump, configuration for peers
+    Model::Endpoint pages;              ///< HTTP: state dump, configuration for peers
+    Model::Endpoint metrics;            ///< HTTP: metrics and state dump for operators
     Model::Endpoint store;              ///< the platform's store
     Model::Endpoint callers;            ///< where callers' packets arrive; callers use its port too
     Model::Endpoint readiness;          ///< where the platform asks whether to send packets here
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -192,7 +192,8 @@
     if (packet.payloadBytes > 0) {
         if (director_.onHeldByBackend(now, packet.flow))
             claimAtRegistrar(packet.flow);
-        meter_.onAnswerBytes(now, packet.flow);
+        if (const auto taken = meter_.onAnswerBytes(now, packet.flow))
+            answerTimes_.push_back(*taken);
     }
     if (packet.fin || packet.rst) {
         meter_.onGone(packet.flow);
@@ -363,6 +364,11 @@
     return admitted;
 }
 
+std::vector<std::chrono::microseconds> AgentCore::takeAnswerTimes()
+{
+    return std::exchange(answerTimes_, {});
+}
+
 std::vector<Outgoing> AgentCore::takeClaims()
 {
     std::vector<Outgoing> outgoing;
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -128,6 +128,9 @@
     /// Returns the flows whose held packets are dropped now.
     std::vector<Model::FlowKey> takeExpired(TimePoint now) { return waitingRoom_.expire(now); }
 
+    /// Returns the times that answers took since the last call; empties the list.
+    std::vector<std::chrono::microseconds> takeAnswerTimes();
+
     /// Returns what other processes are to learn at once: who took a flow or owns it.
     std::vector<Outgoing> takeClaims();
 
@@ -195,6 +198,7 @@
     std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
     std::map<Model::Endpoint, std::vector<Tunnel::ClaimedFlow>> claims_;
     std::vector<ResetFlow> resets_;
+    std::vector<std::chrono::microseconds> answerTimes_;
     TimePoint lastFullClaims_;
     TimePoint lastSweep_;
     std::uint64_t reportNumber_ = 0;
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -5,6 +5,8 @@
 #include "forwarding/packetcodec.h"
 #include "forwarding/trafficthread.h"
 
+#include <prometheus/histogram.h>
+
 #include <atomic>
 #include <mutex>
 
@@ -24,6 +26,11 @@
     std::array<std::atomic<std::uint64_t>, Flows::DropCauseCount> drops{};
 };
 
+/// Bounds of the answer times that are told apart, in seconds, around the latency objectives of the
+/// deployments, 0.12 to 0.8 s.
+const prometheus::Histogram::BucketBoundaries AnswerBuckets{0.01, 0.02, 0.05, 0.12, 0.25,
+                                                            0.5,  0.8,  2,    8};
+
 /// Moves packets between balancers, a backend server and callers as an AgentCore decides. Public
 /// methods are thread-safe.
 template<PacketCodec Codec>
@@ -68,6 +75,9 @@
 
     const AgentCounters &counters() const { return counters_; }
 
+    /// Times from a request's last bytes to its answer.
+    prometheus::Histogram &answerSeconds() { return answerSeconds_; }
+
     /// Called on the traffic thread.
     void onBatch(TimePoint now, std::size_t socket, Tunnel::ReceiveBatch &batch, std::size_t count)
     {
@@ -93,6 +103,8 @@
         const std::lock_guard guard(mutex_);
         sendControl(core_.tick(now));
         sendResets();
+        for (const std::chrono::duration<double> taken : core_.takeAnswerTimes())
+            answerSeconds_.Observe(taken.count());
         admitHeld(now);
         toBackend_.flush(outbound_.descriptor());
     }
@@ -150,6 +162,10 @@
     {
         if (const auto *delivery = std::get_if<DeliverToBackend>(&verdict)) {
             ++counters_.delivered;
+            if (segment.payloadBytes > 0) {
+                if (const auto id = Codec::requestId(bytes))
+                    logRequest(*id, segment, core_.status(std::chrono::steady_clock::now()));
+            }
             Codec::setMark(bytes, delivery->mark);
             toBackend_.add({}, bytes, backend_);
         } else if (const auto *answer = std::get_if<SendToCaller>(&verdict)) {
@@ -220,6 +236,7 @@
     std::mutex mutex_; ///< guards core_ and the buffers
     AgentCore core_;
     AgentCounters counters_;
+    prometheus::Histogram answerSeconds_{AnswerBuckets};
     Tunnel::SendBatch toBackend_;
     Tunnel::SendBatch toCallers_;
     Tunnel::SendBatch toPeers_;
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -67,6 +67,15 @@
     }
 }
 
+void logRequest(std::string_view id, const Tunnel::TcpPacket &packet, const AgentStatus &status)
+{
+    logDecisionLine(Level::Info, "request-delivered",
+                    {{"request", id},
+                     {"flow", Model::flowText(packet.flow)},
+                     {"waiting", status.waiting},
+                     {"answerMicros", status.answerTime.count()}});
+}
+
 void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict)
 {
     const auto *const sendOn = std::get_if<SendOn>(&verdict);
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -3,6 +3,8 @@
 #include "forwarding/agentcore.h"
 #include "forwarding/balancercore.h"
 
+#include <string_view>
+
 namespace Forwarding {
 
 /// Writes a line for each decision that places, finds, refuses or ends a flow; packets that only
@@ -13,6 +15,10 @@
 void logDecision(const Tunnel::TcpPacket &packet, const Tunnel::PacketHeader &header,
                  const AgentVerdict &verdict);
 
+/// Writes a line for the request \a id that begins in a delivered packet, with the load of its
+/// backend server.
+void logRequest(std::string_view id, const Tunnel::TcpPacket &packet, const AgentStatus &status);
+
 /// Writes a line for a packet that the backend server returned.
 void logReturned(const Tunnel::TcpPacket &packet, const AgentVerdict &verdict);
 
--- a/src/libs/forwarding/packetcodec.h
+++ b/src/libs/forwarding/packetcodec.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 /// Carries callers' packets unchanged between callers and backend servers.
@@ -35,6 +36,9 @@
     {
         C::parse(bytes)
         } -> std::same_as<std::optional<CarriedPacket>>;
+    {
+        C::requestId(bytes)
+        } -> std::same_as<std::optional<std::string_view>>;
     {
         C::setMark(writable, mark)
         } -> std::same_as<void>;
--- /dev/null
+++ b/src/libs/observability/trail.cpp
@@ -0,0 +1,50 @@
+#include "observability/trail.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Observability {
+
+/// Returns the value of \a key in \a line; empty if it has none.
+static std::string valueOf(const std::string &line, const std::string &key)
+{
+    const std::string start = ' ' + key + '=';
+    const auto begin = line.find(start);
+    if (begin == std::string::npos)
+        return {};
+    const auto end = line.find(' ', begin + 1);
+    const auto first = begin + start.size();
+    return line.substr(first, end == std::string::npos ? end : end - first);
+}
+
+/// Returns the time at which \a line was written; lines may stand behind a label of their process.
+static std::string timeOf(const std::string &line)
+{
+    const auto zone = line.find("Z ");
+    const auto begin = zone == std::string::npos ? zone : line.rfind(' ', zone);
+    if (zone == std::string::npos)
+        return line;
+    const auto first = begin == std::string::npos ? 0 : begin + 1;
+    return line.substr(first, zone - first);
+}
+
+std::vector<std::string> trailOf(const std::string &id, const std::vector<std::string> &logs)
+{
+    std::set<std::string> flows{id};
+    for (const std::string &line : logs) {
+        if (valueOf(line, "request") == id)
+            flows.insert(valueOf(line, "flow"));
+    }
+    std::vector<std::string> trail;
+    for (const std::string &line : logs) {
+        const std::string flow = valueOf(line, "flow");
+        if (!flow.empty() && flows.contains(flow))
+            trail.push_back(line);
+    }
+    std::stable_sort(trail.begin(), trail.end(), [](const auto &left, const auto &right) {
+        return timeOf(left) < timeOf(right);
+    });
+    return trail;
+}
+
+} // namespace Observability
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -4,6 +4,7 @@
 #include "configuration/questionnaire.h"
 #include "control/clusterview.h"
 #include "membership/announcement.h"
+#include "observability/trail.h"
 #include "operations/acceptance.h"
 #include "store/httpobjectclient.h"
 
@@ -12,6 +13,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <fstream>
 #include <functional>
 #include <random>
 #include <thread>
@@ -170,16 +172,21 @@
                     });
 }
 
-static std::vector<std::string> processList()
+/// Splits \a list at its commas.
+static std::vector<std::string> separated(std::string_view list)
 {
-    std::vector<std::string> processes;
-    std::string_view rest = FLAGS_processes;
-    while (!rest.empty()) {
-        const auto comma = rest.find(',');
-        processes.emplace_back(rest.substr(0, comma));
-        rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+    std::vector<std::string> parts;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        parts.emplace_back(list.substr(0, comma));
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
     }
-    return processes;
+    return parts;
+}
+
+static std::vector<std::string> processList()
+{
+    return separated(FLAGS_processes);
 }
 
 /// Returns the state dump of the process whose admin server is at \a address, or null.
@@ -323,6 +330,24 @@
     });
 }
 
+static ExitCode trace(const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> lines;
+    for (const std::string &path : separated(arguments[1])) {
+        std::ifstream file(path);
+        if (!file)
+            return refuse("can't read " + path);
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(std::move(line));
+    }
+    const auto trail = Observability::trailOf(arguments[0], lines);
+    if (trail.empty())
+        return fail("no line names " + arguments[0]);
+    for (const std::string &line : trail)
+        fmt::print("{}\n", line);
+    return ExitCode::Done;
+}
+
 static const std::vector<Command> &commands()
 {
     static const std::vector<Command> all{
@@ -336,6 +361,8 @@
         {"drain", "INSTANCE", "ask an agent to take nothing new (--platform)", 1, drain},
         {"explain", "CALLER SERVICE", "show which agents a flow asks, and why (--platform)", 2,
          explain},
+        {"trace", "ID LOGS",
+         "print the way of a request or flow from processes' logs (files, with ,)", 2, trace},
     };
     return all;
 }
--- a/tests/auto/configuration/tst_questionnaire.cpp
+++ b/tests/auto/configuration/tst_questionnaire.cpp
@@ -46,9 +46,11 @@
                  problemOf(answersWith("order-desk", "10.40.0.2:80")).c_str());
     STRCMP_EQUAL("answers.json:10: /services/1/address: stands twice (10.40.0.1:80)",
                  problemOf(answersWith("yard-ticket", "10.40.0.1:80")).c_str());
-    STRCMP_EQUAL("answers.json:6: /services/0/answerWithinMs: out of range (from 10 to 600000)",
+    STRCMP_EQUAL("answers.json:6: /services/0/answerWithinMs: out of range (from 10 to 600000)\n"
+                 "answers.json:11: /services/1/answerWithinMs: out of range (from 10 to 600000)",
                  problemOf(answersWith("yard-ticket", "10.40.0.2:80", "1")).c_str());
-    STRCMP_EQUAL("answers.json:6: /services/0/answerWithinMs: wrong type (an integer is expected)",
+    STRCMP_EQUAL("answers.json:6: /services/0/answerWithinMs: wrong type (an integer is expected)\n"
+                 "answers.json:11: /services/1/answerWithinMs: wrong type (an integer is expected)",
                  problemOf(answersWith("yard-ticket", "10.40.0.2:80", "true")).c_str());
 }
 
--- a/tests/auto/configuration/tst_settings.cpp
+++ b/tests/auto/configuration/tst_settings.cpp
@@ -55,6 +55,9 @@
     STRCMP_EQUAL("agent.json:3: /role: unknown name (one of: balancer, agent, forwarding-balancer, "
                  "forwarding-agent)",
                  problemOf(replaced(balancer, "\"balancer\"", "\"router\"")).c_str());
+    STRCMP_EQUAL("agent.json:1: /tunnel: missing key\n"
+                 "agent.json:6: /tunel: unknown key (did you mean tunnel?)",
+                 problemOf(replaced(balancer, "\"tunnel\"", "\"tunel\"")).c_str());
     STRCMP_EQUAL("agent.json:3: no JSON with comments",
                  problemOf(replaced(balancer, "\"role\":", "\"role\"")).c_str());
 }
@@ -73,3 +76,20 @@
         RC_ASSERT(problem.empty() || problem.starts_with("agent.json:"));
     });
 }
+
+static const char *const forwardingAgent =
+    "{\"role\": \"forwarding-agent\", \"name\": \"side-1\", \"failureDomain\": \"harbour\",\n"
+    "\"tunnel\": \"10.0.0.1:7000\", \"pages\": \"10.0.0.1:7001\", \"metrics\": \"10.0.0.1:9464\",\n"
+    "\"store\": \"10.0.0.9:7100\", \"callers\": \"10.0.0.1:7200\", \"readiness\": "
+    "\"10.0.0.1:7201\",\n"
+    "\"control\": \"10.0.0.1:7202\", \"service\": \"order-desk\", \"backend\": "
+    "\"10.0.0.1:8080\",\n"
+    "\"outbound\": \"10.0.0.1:7203\", \"beatIntervalMs\": 1200, \"longestFlowSeconds\": 60,\n"
+    "\"firstStart\": true, \"seeds\": [\"10.0.0.2:7202\"]}";
+
+TEST(Settings, ForwardingRolesAreReadAndChecked)
+{
+    STRCMP_EQUAL("", problemOf(forwardingAgent).c_str());
+    STRCMP_EQUAL("agent.json:5: /longestFlowSeconds: out of range (from 1 to 86400)",
+                 problemOf(replaced(forwardingAgent, "Seconds\": 60", "Seconds\": 0")).c_str());
+}
--- /dev/null
+++ b/tests/auto/observability/tst_trail.cpp
@@ -0,0 +1,32 @@
+#include "observability/trail.h"
+
+#include "property.h"
+
+using Observability::trailOf;
+
+static const std::vector<std::string> logs{
+    "2026-07-01T18:39:50.300Z info request-delivered request=ab12 flow=1.2.3.4:5>6.7.8.9:80 "
+    "waiting=1",
+    "2026-07-01T18:39:50.200Z info flow-accepted flow=1.2.3.4:5>6.7.8.9:80 passes=0",
+    "  34.1 front-1 2026-07-01T18:39:50.100Z info flow-offered flow=1.2.3.4:5>6.7.8.9:80 copy=0",
+    "2026-07-01T18:39:50.250Z info flow-accepted flow=1.2.3.4:6>6.7.8.9:80 passes=0",
+    "2026-07-01T18:39:50.400Z info request-delivered request=cd34 flow=1.2.3.4:6>6.7.8.9:80 "
+    "waiting=1",
+};
+
+TEST_GROUP(Trail){};
+
+TEST(Trail, ARequestLeadsToTheWayOfItsFlowByTime)
+{
+    const auto trail = trailOf("ab12", logs);
+    LONGS_EQUAL(3, trail.size());
+    CHECK_TRUE(trail[0].find("flow-offered") != std::string::npos);
+    CHECK_TRUE(trail[1].find("flow-accepted") != std::string::npos);
+    CHECK_TRUE(trail[2].find("request=ab12") != std::string::npos);
+}
+
+TEST(Trail, AFlowLeadsToItself)
+{
+    LONGS_EQUAL(2, trailOf("1.2.3.4:6>6.7.8.9:80", logs).size());
+    LONGS_EQUAL(0, trailOf("ef56", logs).size());
+}
--- a/tests/auto/platform_adapter/tst_packetcodec.cpp
+++ b/tests/auto/platform_adapter/tst_packetcodec.cpp
@@ -74,6 +74,17 @@
     CHECK_TRUE(bytes == before);
 }
 
+TEST(PacketCodec, NamesTheRequestThatBegins)
+{
+    auto bytes = bytesOf(exampleSyn);
+    for (const char letter : std::string("GET / HTTP/1.1\r\nRequest-Id: ab12\r\n\r\n"))
+        bytes.push_back(std::byte(letter));
+    CHECK_TRUE(PacketCodec::requestId(bytes) == "ab12");
+    bytes.resize(bytes.size() - 5);
+    CHECK_FALSE(PacketCodec::requestId(bytes).has_value());
+    CHECK_FALSE(PacketCodec::requestId(bytesOf(exampleSyn)).has_value());
+}
+
 TEST(PacketCodec, AnyBytesAreReadOrRefused)
 {
     checkProperty("any bytes are read or refused", [](const std::vector<std::uint8_t> &random) {
@@ -83,5 +94,7 @@
             bytes[index] = std::byte(random[index]);
         if (const auto packet = PacketCodec::parse(bytes))
             RC_ASSERT(packet->segment.payloadBytes + 31 == bytes.size());
+        if (bytes.size() >= 31)
+            PacketCodec::requestId(bytes);
     });
 }
