--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -26,10 +26,12 @@
     std::array<std::atomic<std::uint64_t>, Flows::DropCauseCount> drops{};
 };
 
-/// Bounds of the answer times that are told apart, in seconds, around the latency objectives of the
-/// deployments, 0.12 to 0.8 s.
-const prometheus::Histogram::BucketBoundaries AnswerBuckets{0.01, 0.02, 0.05, 0.12, 0.25,
-                                                            0.5,  0.8,  2,    8};
+/// Returns the bounds of the answer times that are told apart, in seconds, around the latency
+/// objectives of the deployments, 0.12 to 0.8 s.
+inline prometheus::Histogram::BucketBoundaries answerBuckets()
+{
+    return {0.01, 0.02, 0.05, 0.12, 0.25, 0.5, 0.8, 2, 8};
+}
 
 /// Moves packets between balancers, a backend server and callers as an AgentCore decides. Public
 /// methods are thread-safe.
@@ -236,7 +238,7 @@
     std::mutex mutex_; ///< guards core_ and the buffers
     AgentCore core_;
     AgentCounters counters_;
-    prometheus::Histogram answerSeconds_{AnswerBuckets};
+    prometheus::Histogram answerSeconds_{answerBuckets()};
     Tunnel::SendBatch toBackend_;
     Tunnel::SendBatch toCallers_;
     Tunnel::SendBatch toPeers_;
