--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -6,6 +6,7 @@
 
 #include "configuration/routeconfiguration.h"
 #include "control/configurationfollower.h"
+#include "control/memberdirectory.h"
 #include "forwarding/balancertraffic.h"
 #include "observability/adminserver.h"
 #include "platform/objectstore.h"
@@ -22,6 +23,7 @@
 using Observability::Level;
 using Observability::log;
 using Traffic = Forwarding::BalancerTraffic<Platform::PacketCodec>;
+using Directory = Control::MemberDirectory<Platform::ObjectStore>;
 using Follower = Control::ConfigurationFollower<Platform::ObjectStore>;
 
 /// Longest wait for an answer of the store, which answers in milliseconds.
@@ -129,6 +131,19 @@
         [] { log(Level::Error, "peer-configuration-refused"); });
 }
 
+/// Reads the directory at the start, and writes it if this balancer is responsible for it.
+static void keepDirectory(Traffic &traffic, Directory &directory)
+{
+    const auto [members, isResponsible] = traffic.with([](const Forwarding::BalancerCore &core) {
+        return std::pair(core.roster().running(), core.roster().isFirstBalancer());
+    });
+    const auto now = std::chrono::steady_clock::now();
+    if (auto tunnels = directory.step(now, isResponsible, members); !tunnels.empty()) {
+        log(Level::Info, "directory-read", {{"members", tunnels.size()}});
+        traffic.with([&](Forwarding::BalancerCore &core) { core.setContacts(std::move(tunnels)); });
+    }
+}
+
 void runForwardingBalancer(const Configuration::ForwardingBalancerSettings &settings,
                            const std::string &settingsPath)
 {
@@ -139,13 +154,15 @@
     traffic.start();
 
     Platform::ObjectStore store(process.store, StoreTimeout);
-    Follower follower(store, {Platform::ConfigurationKey, "config/", std::random_device()(),
-                              Platform::readOperatorConfiguration,
+    Follower follower(store, {Platform::ConfigurationKey, Platform::ConfigurationPrefix,
+                              std::random_device()(), Platform::readOperatorConfiguration,
                               [&traffic](const Model::Configuration &configuration) {
                                   traffic.with([&](Forwarding::BalancerCore &core) {
                                       core.setConfiguration(configuration);
                                   });
                               }});
+    Platform::ObjectStore directoryStore(process.store, StoreTimeout);
+    Directory directory(directoryStore, Platform::DirectoryKey);
     std::atomic<bool> isStopping = false;
     const Platform::PlatformServer server(
         {process.readiness, process.control},
@@ -164,6 +181,8 @@
     log(Level::Info, "started",
         {{"role", "forwarding-balancer"}, {"name", process.name}, {"seeds", process.seeds.size()}});
 
+    if (!process.isFirstStart)
+        keepDirectory(traffic, directory);
     while (true) {
         const ProcessSignal signal = waitForSignal(ControlInterval);
         if (signal == ProcessSignal::Stop)
@@ -177,6 +196,7 @@
                 });
         }
         fetchNewerConfiguration(traffic, follower);
+        keepDirectory(traffic, directory);
     }
     log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
     isStopping = true;
--- /dev/null
+++ b/src/libs/control/memberdirectory.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "membership/directory.h"
+#include "observability/log.h"
+#include "store/attempt.h"
+
+#include <string>
+#include <vector>
+
+namespace Control {
+
+/// Keeps the directory of members in a store by blocking calls of one thread.
+template<Store::ObjectClient Client>
+class MemberDirectory
+{
+public:
+    /// \a client is used by this directory alone; \a key is where the directory stands.
+    MemberDirectory(Client &client, std::string key)
+        : client_(client)
+        , key_(std::move(key))
+    {}
+
+    /// Makes the call that is due, if any; returns tunnels that were read. \a members are those
+    /// that the directory should name. Not thread-safe.
+    std::vector<Model::Endpoint> step(std::chrono::steady_clock::time_point now, bool isResponsible,
+                                      const std::vector<Tunnel::Member> &members)
+    {
+        const std::string encoded = Membership::encodeDirectory(members);
+        switch (policy_.next(now, isResponsible, encoded)) {
+        case Membership::DirectoryStep::Rest:
+            return {};
+        case Membership::DirectoryStep::Write:
+            write(now, encoded);
+            return {};
+        case Membership::DirectoryStep::Read:
+            return read(now);
+        }
+        return {};
+    }
+
+private:
+    std::vector<Model::Endpoint> read(std::chrono::steady_clock::time_point now)
+    {
+        const auto found = Store::attempt([this] { return client_.read(key_); });
+        if (const auto *object = std::get_if<Store::Object>(&found)) {
+            version_ = object->version;
+            policy_.onRead(object->value);
+            return Membership::decodeDirectory(object->value);
+        }
+        if (std::get<Store::FailureKind>(found) == Store::FailureKind::NotFound) {
+            version_.reset();
+            policy_.onRead(std::nullopt);
+        } else {
+            fail(now, "read", std::get<Store::FailureKind>(found));
+        }
+        return {};
+    }
+
+    void write(std::chrono::steady_clock::time_point now, const std::string &encoded)
+    {
+        const Store::Precondition precondition =
+            version_ ? Store::Precondition(Store::IfVersion{*version_}) : Store::IfAbsent{};
+        const auto written =
+            Store::attempt([&] { return client_.write(key_, encoded, precondition); });
+        if (const auto *version = std::get_if<Store::Version>(&written)) {
+            version_ = *version;
+            policy_.onWritten(encoded);
+        } else {
+            // A lost answer and another writer are told apart by reading again.
+            fail(now, "write", std::get<Store::FailureKind>(written));
+        }
+    }
+
+    void fail(std::chrono::steady_clock::time_point now, const char *call, Store::FailureKind kind)
+    {
+        Observability::log(Observability::Level::Warning, "directory-call-failed",
+                           {{"call", call}, {"cause", Store::failureText(kind)}});
+        policy_.onFailed(now);
+    }
+
+    Client &client_;
+    std::string key_;
+    Membership::DirectoryPolicy policy_;
+    std::optional<Store::Version> version_;
+};
+
+} // namespace Control
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -304,6 +304,11 @@
             viewChanged_ = now;
             rebuild();
         }
+    } else if (const auto *report = std::get_if<Tunnel::Report>(&datagram.content)) {
+        // A balancer that starts says so to the agents that it read of.
+        const bool isBalancer = report->sender.role == Tunnel::Role::Balancer;
+        if (isBalancer && roster_.onReport(now, *report))
+            pacer_.onUrgentChange();
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         if (datagram.service == service_)
             director_.onRedirects(now, redirects->owner, redirects->flows);
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -77,6 +77,12 @@
     /// Sets where balancers run that may not be known yet.
     void setSeeds(std::vector<Model::Endpoint> seeds) { pacer_.setSeeds(std::move(seeds)); }
 
+    /// Adds members that ran before this process started.
+    void setContacts(std::vector<Model::Endpoint> contacts)
+    {
+        pacer_.setContacts(std::move(contacts));
+    }
+
     /// A configuration that another balancer has and this one hasn't.
     struct NewerConfiguration
     {
--- a/src/libs/forwarding/controlpacer.cpp
+++ b/src/libs/forwarding/controlpacer.cpp
@@ -28,6 +28,12 @@
             if (!roster.hasAddress(seed.address))
                 receivers.push_back({seed, true});
         }
+        if (now - *started_ >= StartTime)
+            contacts_.clear();
+        for (const Model::Endpoint &contact : contacts_) {
+            if (!roster.hasAddress(contact.address))
+                receivers.push_back({contact, false});
+        }
     }
     if (balancers.empty())
         return receivers;
--- a/src/libs/forwarding/controlpacer.h
+++ b/src/libs/forwarding/controlpacer.h
@@ -50,6 +50,10 @@
     /// Sets where balancers run that may not be known yet.
     void setSeeds(std::vector<Model::Endpoint> seeds) { seeds_ = std::move(seeds); }
 
+    /// Adds members that ran before this process started; they are reported to until they answer or
+    /// StartTime is over.
+    void setContacts(std::vector<Model::Endpoint> contacts) { contacts_ = std::move(contacts); }
+
     /// Says that the next report has something new.
     void onChange() { hasChange_ = true; }
 
@@ -62,6 +66,7 @@
 private:
     std::string failureDomain_;
     std::vector<Model::Endpoint> seeds_;
+    std::vector<Model::Endpoint> contacts_;
     TimePoint lastFull_;
     TimePoint lastNear_;
     TimePoint lastSeed_;
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -170,6 +170,26 @@
     return agents;
 }
 
+std::vector<Tunnel::Member> Roster::running() const
+{
+    std::vector<Tunnel::Member> members{self_};
+    for (const auto &[name, entry] : entries_) {
+        if (!entry.isSuspect)
+            members.push_back(entry.member);
+    }
+    return members;
+}
+
+bool Roster::isFirstBalancer() const
+{
+    return std::none_of(entries_.begin(), entries_.end(), [this](const auto &entry) {
+        const Tunnel::Member &member = entry.second.member;
+        return member.role == Tunnel::Role::Balancer && !entry.second.isSuspect
+               && member.instance.state == Model::InstanceState::Ready
+               && member.instance.name < self_.instance.name;
+    });
+}
+
 std::vector<Model::Instance> Roster::balancers() const
 {
     std::vector<Model::Instance> balancers;
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -62,6 +62,12 @@
     /// Returns the agents, suspect ones with that state.
     std::vector<Model::Instance> agents() const;
 
+    /// Returns the members that are not suspect, this process included.
+    std::vector<Tunnel::Member> running() const;
+
+    /// Whether this process is the first by name of the balancers that run.
+    bool isFirstBalancer() const;
+
     /// Returns the balancers, suspect ones too: one that was only heard of is told of this process,
     /// and answers.
     std::vector<Model::Instance> balancers() const;
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -96,6 +96,29 @@
     LONGS_EQUAL(0, world.resets);
 }
 
+TEST(Fleet, AStartWithoutItsSeedsIsServedByContactsFromTheDirectory)
+{
+    World world(3, 6);
+    std::vector<Model::Endpoint> tunnels;
+    for (const Tunnel::Member &member : world.balancer(2).roster().running())
+        tunnels.push_back(member.instance.tunnel);
+    LONGS_EQUAL(9, tunnels.size());
+    for (std::size_t index = 0; index < 3; ++index)
+        world.stopBalancer(index);
+    for (std::size_t index = 0; index < 6; ++index) {
+        world.stopAgent(index, false);
+        world.startAgent(index);
+        world.beat(index);
+    }
+    // The seeds, the first two balancers, stay down.
+    world.startBalancer(2);
+    world.balancer(2).setContacts(tunnels);
+    world.run(100ms);
+    const auto caller = world.open(2);
+    world.run(100ms);
+    CHECK_TRUE(world.caller(caller).acknowledgement.has_value());
+}
+
 TEST(Fleet, CallersOfABackendServerThatStartedAnewAreToldAtOnce)
 {
     World world(3, 6);
