--- a/src/daemon/forwardingagentprocess.cpp
+++ b/src/daemon/forwardingagentprocess.cpp
@@ -1,8 +1,7 @@
 #include "forwardingagentprocess.h"
 
+#include "forwardingprocess.h"
 #include "processmetrics.h"
-#include "processsignals.h"
-#include "settingsfile.h"
 
 #include "forwarding/agenttraffic.h"
 #include "observability/adminserver.h"
@@ -19,24 +18,13 @@
 /// How often the main thread looks for changed settings.
 static constexpr std::chrono::milliseconds ControlInterval{200};
 
-static std::uint64_t startNumber()
-{
-    using namespace std::chrono;
-    return std::uint64_t(
-        duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
-}
-
 static Forwarding::AgentCore::Options
 optionsOf(const Configuration::ForwardingAgentSettings &settings)
 {
     const Configuration::ForwardingSettings &process = settings.process;
     Forwarding::AgentCore::Options options;
-    options.self.instance.name = process.name;
+    options.self = memberOf(process, Tunnel::Role::Agent);
     options.self.instance.service = settings.service;
-    options.self.instance.failureDomain = process.failureDomain;
-    options.self.instance.tunnel = process.tunnel;
-    options.self.instance.peer = process.pages;
-    options.self.instance.incarnation = Model::Incarnation(startNumber());
     options.backend = settings.backend;
     options.isFirstStart = process.isFirstStart;
     options.beatInterval = settings.beatInterval;
@@ -44,14 +32,6 @@
     return options;
 }
 
-static std::vector<Model::Endpoint> seedTunnels(const Configuration::ForwardingSettings &settings)
-{
-    std::vector<Model::Endpoint> tunnels;
-    for (const Model::Endpoint &seed : settings.seeds)
-        tunnels.push_back({seed.address, settings.tunnel.port});
-    return tunnels;
-}
-
 static nlohmann::json stateOf(const std::string &name, Traffic &traffic)
 {
     const Forwarding::AgentCounters &counters = traffic.counters();
@@ -131,19 +111,13 @@
          {"service", settings.service},
          {"seeds", process.seeds.size()}});
 
-    while (true) {
-        const ProcessSignal signal = waitForSignal(ControlInterval);
-        if (signal == ProcessSignal::Stop)
-            break;
-        if (signal == ProcessSignal::Reload)
-            file.invalidate();
-        if (const auto changed = file.readIfChanged()) {
-            if (const auto *now = std::get_if<Configuration::ForwardingAgentSettings>(&*changed))
-                traffic.with([now](Forwarding::AgentCore &core) {
-                    core.setSeeds(seedTunnels(now->process));
-                });
-        }
-    }
+    runUntilStopped<Configuration::ForwardingAgentSettings>(
+        file, ControlInterval,
+        [&traffic](const auto &changed) {
+            traffic.with(
+                [&](Forwarding::AgentCore &core) { core.setSeeds(seedTunnels(changed.process)); });
+        },
+        [] {});
     log(Level::Info, "stopping", {{"role", "forwarding-agent"}, {"name", process.name}});
     traffic.stop();
 }
--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -1,8 +1,7 @@
 #include "forwardingbalancerprocess.h"
 
+#include "forwardingprocess.h"
 #include "processmetrics.h"
-#include "processsignals.h"
-#include "settingsfile.h"
 
 #include "configuration/routeconfiguration.h"
 #include "control/configurationfollower.h"
@@ -45,36 +44,6 @@
 
 static constexpr const char *ConfigurationPage = "/snapshot";
 
-static std::uint64_t startNumber()
-{
-    using namespace std::chrono;
-    return std::uint64_t(
-        duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
-}
-
-static Tunnel::Member selfOf(const Configuration::ForwardingSettings &settings)
-{
-    Tunnel::Member self;
-    self.role = Tunnel::Role::Balancer;
-    self.instance.name = settings.name;
-    self.instance.failureDomain = settings.failureDomain;
-    self.instance.tunnel = settings.tunnel;
-    self.instance.peer = settings.pages;
-    self.instance.incarnation = Model::Incarnation(startNumber());
-    return self;
-}
-
-/// Seeds are named by their control address; datagrams go to the same port on every instance.
-static std::vector<Model::Endpoint> seedTunnels(const Configuration::ForwardingSettings &settings)
-{
-    std::vector<Model::Endpoint> tunnels;
-    for (const Model::Endpoint &seed : settings.seeds) {
-        if (seed.address != settings.tunnel.address)
-            tunnels.push_back({seed.address, settings.tunnel.port});
-    }
-    return tunnels;
-}
-
 static nlohmann::json stateOf(const std::string &name, Traffic &traffic, const Follower &follower,
                               const Platform::ObjectStore &store)
 {
@@ -149,7 +118,7 @@
 {
     const Configuration::ForwardingSettings &process = settings.process;
     SettingsFile file(settingsPath);
-    Traffic traffic({selfOf(process), process.callers});
+    Traffic traffic({memberOf(process, Tunnel::Role::Balancer), process.callers});
     traffic.with([&](Forwarding::BalancerCore &core) { core.setSeeds(seedTunnels(process)); });
     traffic.start();
 
@@ -183,21 +152,17 @@
 
     if (!process.isFirstStart)
         keepDirectory(traffic, directory);
-    while (true) {
-        const ProcessSignal signal = waitForSignal(ControlInterval);
-        if (signal == ProcessSignal::Stop)
-            break;
-        if (signal == ProcessSignal::Reload)
-            file.invalidate();
-        if (const auto changed = file.readIfChanged()) {
-            if (const auto *now = std::get_if<Configuration::ForwardingBalancerSettings>(&*changed))
-                traffic.with([now](Forwarding::BalancerCore &core) {
-                    core.setSeeds(seedTunnels(now->process));
-                });
-        }
-        fetchNewerConfiguration(traffic, follower);
-        keepDirectory(traffic, directory);
-    }
+    runUntilStopped<Configuration::ForwardingBalancerSettings>(
+        file, ControlInterval,
+        [&traffic](const auto &changed) {
+            traffic.with([&](Forwarding::BalancerCore &core) {
+                core.setSeeds(seedTunnels(changed.process));
+            });
+        },
+        [&] {
+            fetchNewerConfiguration(traffic, follower);
+            keepDirectory(traffic, directory);
+        });
     log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
     isStopping = true;
     std::this_thread::sleep_for(WithdrawalTime);
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -72,7 +72,7 @@
     {
         thread_.stop();
         const std::lock_guard guard(mutex_);
-        sendControl(core_.farewell(std::chrono::steady_clock::now()));
+        control_.send(tunnel_.descriptor(), core_.farewell(std::chrono::steady_clock::now()));
     }
 
     const AgentCounters &counters() const { return counters_; }
@@ -96,14 +96,14 @@
         toBackend_.flush(outbound_.descriptor());
         toCallers_.flush(outbound_.descriptor());
         toPeers_.flush(tunnel_.descriptor());
-        sendControl(core_.takeClaims());
+        control_.send(tunnel_.descriptor(), core_.takeClaims());
     }
 
     /// Called on the traffic thread.
     void onTick(TimePoint now)
     {
         const std::lock_guard guard(mutex_);
-        sendControl(core_.tick(now));
+        control_.send(tunnel_.descriptor(), core_.tick(now));
         sendResets();
         for (const std::chrono::duration<double> taken : core_.takeAnswerTimes())
             answerSeconds_.Observe(taken.count());
@@ -223,14 +223,6 @@
         }
     }
 
-    void sendControl(const std::vector<Outgoing> &outgoing)
-    {
-        for (const auto &[receiver, datagram] : outgoing) {
-            Tunnel::encodeDatagram(datagram, control_);
-            Tunnel::sendDatagram(tunnel_.descriptor(), control_, {}, receiver);
-        }
-    }
-
     OwnedSocket outbound_;
     OwnedSocket tunnel_;
     std::uint16_t callerPort_;
@@ -245,7 +237,7 @@
     std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
     std::size_t headerCount_ = 0;
     std::unordered_map<Model::FlowKey, std::vector<std::byte>> held_; ///< packets by flow
-    std::vector<std::byte> control_;
+    ControlSender control_;
     TrafficThread<AgentTraffic> thread_;
 };
 
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -150,7 +150,7 @@
         if (datagram.generation > std::max(newest_.generation, configuration_.generation))
             newest_ = {datagram.generation, report->sender.instance.peer, now};
         if (report->sender.role == Tunnel::Role::Agent)
-            board_.onReport(now, *report);
+            board_.onReport(*report);
         if (roster_.onReport(now, *report)) {
             rebuild();
             pacer_.onUrgentChange();
--- a/src/libs/forwarding/balancertraffic.h
+++ b/src/libs/forwarding/balancertraffic.h
@@ -56,7 +56,8 @@
     {
         thread_.stop();
         const std::lock_guard guard(mutex_);
-        sendControl(core_.farewell(std::chrono::steady_clock::now(), forGood));
+        control_.send(tunnel_.descriptor(),
+                      core_.farewell(std::chrono::steady_clock::now(), forGood));
     }
 
     const BalancerCounters &counters() const { return counters_; }
@@ -76,7 +77,7 @@
     void onTick(TimePoint now)
     {
         const std::lock_guard guard(mutex_);
-        sendControl(core_.tick(now));
+        control_.send(tunnel_.descriptor(), core_.tick(now));
     }
 
 private:
@@ -121,15 +122,7 @@
                 ++counters_.unreadable;
                 continue;
             }
-            sendControl(core_.onDatagram(now, received->datagram));
-        }
-    }
-
-    void sendControl(const std::vector<Outgoing> &outgoing)
-    {
-        for (const auto &[receiver, datagram] : outgoing) {
-            Tunnel::encodeDatagram(datagram, control_);
-            Tunnel::sendDatagram(tunnel_.descriptor(), control_, {}, receiver);
+            control_.send(tunnel_.descriptor(), core_.onDatagram(now, received->datagram));
         }
     }
 
@@ -141,7 +134,7 @@
     BalancerCounters counters_;
     Tunnel::SendBatch outgoing_;
     std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
-    std::vector<std::byte> control_;
+    ControlSender control_;
     TrafficThread<BalancerTraffic> thread_;
 };
 
--- a/src/libs/forwarding/flowcache.cpp
+++ b/src/libs/forwarding/flowcache.cpp
@@ -40,19 +40,15 @@
 void FlowCache::onOffered(TimePoint now, const Model::FlowKey &flow, Model::ServiceId service,
                           const Routing::Hop &agent)
 {
-    if (Entry *entry = entryFor(now, flow, service)) {
+    if (Entry *entry = entryFor(now, flow, service))
         putFirst(entry->agents, agent);
-        entry->isOwned = false;
-    }
 }
 
 void FlowCache::onOwned(TimePoint now, const Model::FlowKey &flow, Model::ServiceId service,
                         const Routing::Hop &owner)
 {
-    if (Entry *entry = entryFor(now, flow, service)) {
+    if (Entry *entry = entryFor(now, flow, service))
         putFirst(entry->agents, owner);
-        entry->isOwned = true;
-    }
 }
 
 void FlowCache::forget(const Model::FlowKey &flow)
--- a/src/libs/forwarding/flowcache.h
+++ b/src/libs/forwarding/flowcache.h
@@ -21,7 +21,6 @@
     {
         Model::ServiceId service{};
         Routing::Chain agents; ///< the owner or the latest choice first
-        bool isOwned = false;  ///< the first agent said that it owns the flow
         TimePoint lastUse;
     };
 
--- a/src/libs/forwarding/trafficthread.h
+++ b/src/libs/forwarding/trafficthread.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace Forwarding {
 
@@ -42,6 +43,23 @@
     int descriptor_;
 };
 
+/// Sends control datagrams one by one; there are few. Not thread-safe.
+class ControlSender
+{
+public:
+    /// Sends \a outgoing through \a socket; losses go unnoticed.
+    void send(int socket, const std::vector<Outgoing> &outgoing)
+    {
+        for (const auto &[receiver, datagram] : outgoing) {
+            Tunnel::encodeDatagram(datagram, encoded_);
+            Tunnel::sendDatagram(socket, encoded_, {}, receiver);
+        }
+    }
+
+private:
+    std::vector<std::byte> encoded_;
+};
+
 /// Receives from two sockets on a thread of its own. \a Handler is called on that thread: onBatch()
 /// for what a socket received, and onTick() between batches.
 template<typename Handler>
--- a/src/libs/placement/loadboard.cpp
+++ b/src/libs/placement/loadboard.cpp
@@ -14,12 +14,11 @@
     : failureDomain_(std::move(failureDomain))
 {}
 
-void LoadBoard::onReport(TimePoint, const Tunnel::Report &report)
+void LoadBoard::onReport(const Tunnel::Report &report)
 {
     Load &load = loads_[Model::instanceId(report.sender.instance.name)];
     load.waiting = report.waiting;
     load.usualWaiting += NewestReportWeight * (load.waiting - load.usualWaiting);
-    load.slots = std::max(1u, report.slots);
     load.answerTime = report.answerTime;
     load.placedSince = 0;
 }
@@ -41,7 +40,7 @@
 }
 
 /// Expected time to the answer in microseconds, as if every request ran as long as the usual one.
-double LoadBoard::costOf(TimePoint, const Model::Instance &instance, Model::InstanceId id) const
+double LoadBoard::costOf(const Model::Instance &instance, Model::InstanceId id) const
 {
     using Micros = std::chrono::duration<double, std::micro>;
     const auto known = loads_.find(id);
@@ -74,7 +73,7 @@
                               && now - load->second.placedFirst > PlacementSilence;
         const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
         candidates.push_back({isSilent || wasTried,
-                              costOf(now, instance, id),
+                              costOf(instance, id),
                               {id, instance.incarnation, instance.tunnel}});
     }
     const auto count = std::min(candidates.size(), Routing::MaxChainLength);
--- a/src/libs/placement/loadboard.h
+++ b/src/libs/placement/loadboard.h
@@ -38,7 +38,7 @@
     explicit LoadBoard(std::string failureDomain);
 
     /// Takes what an agent says of its load.
-    void onReport(TimePoint now, const Tunnel::Report &report);
+    void onReport(const Tunnel::Report &report);
 
     /// Notes that a new flow was offered to \a instance.
     void onPlaced(TimePoint now, Model::InstanceId instance);
@@ -55,13 +55,12 @@
     {
         double waiting = 0;      ///< at the last report
         double usualWaiting = 0; ///< smoothed
-        double slots = 1;
-        double placedSince = 0; ///< flows placed after the last report
+        double placedSince = 0;  ///< flows placed after the last report
         std::chrono::microseconds answerTime{0};
         TimePoint placedFirst; ///< the first placement after the last report
     };
 
-    double costOf(TimePoint now, const Model::Instance &instance, Model::InstanceId id) const;
+    double costOf(const Model::Instance &instance, Model::InstanceId id) const;
 
     std::string failureDomain_;
     std::unordered_map<Model::InstanceId, Load> loads_;
--- a/tests/auto/placement/tst_loadboard.cpp
+++ b/tests/auto/placement/tst_loadboard.cpp
@@ -48,10 +48,10 @@
 {
     const auto table = tableOf({instance("near", "harbour"), instance("far", "portmore")});
     LoadBoard board("harbour");
-    board.onReport(start, load("near", 0, 20ms));
-    board.onReport(start, load("far", 0, 20ms));
+    board.onReport(load("near", 0, 20ms));
+    board.onReport(load("far", 0, 20ms));
     CHECK_TRUE(isFirst(board.order(start, table, {}), "near"));
-    board.onReport(start, load("near", 9, 20ms));
+    board.onReport(load("near", 9, 20ms));
     CHECK_TRUE(isFirst(board.order(start, table, {}), "far"));
 }
 
@@ -59,8 +59,8 @@
 {
     const auto table = tableOf({instance("fast", "harbour"), instance("slow", "harbour")});
     LoadBoard board("harbour");
-    board.onReport(start, load("fast", 2, 15ms));
-    board.onReport(start, load("slow", 0, 100ms));
+    board.onReport(load("fast", 2, 15ms));
+    board.onReport(load("slow", 0, 100ms));
     CHECK_TRUE(isFirst(board.order(start, table, {}), "fast"));
 }
 
@@ -68,8 +68,8 @@
 {
     const auto table = tableOf({instance("a", "harbour"), instance("b", "harbour")});
     LoadBoard board("harbour");
-    board.onReport(start, load("a", 0, 20ms));
-    board.onReport(start, load("b", 1, 20ms));
+    board.onReport(load("a", 0, 20ms));
+    board.onReport(load("b", 1, 20ms));
     CHECK_TRUE(isFirst(board.order(start, table, {}), "a"));
     for (int flow = 0; flow < 2; ++flow)
         board.onPlaced(start, Model::instanceId("a"));
@@ -80,12 +80,12 @@
 {
     const auto table = tableOf({instance("dead", "harbour"), instance("alive", "harbour")});
     LoadBoard board("harbour");
-    board.onReport(start, load("dead", 0, 10ms));
-    board.onReport(start, load("alive", 3, 40ms));
+    board.onReport(load("dead", 0, 10ms));
+    board.onReport(load("alive", 3, 40ms));
     board.onPlaced(start, Model::instanceId("dead"));
     CHECK_TRUE(isFirst(board.order(start + PlacementSilence, table, {}), "dead"));
     CHECK_TRUE(isFirst(board.order(start + PlacementSilence + 1ms, table, {}), "alive"));
-    board.onReport(start + 200ms, load("dead", 0, 10ms));
+    board.onReport(load("dead", 0, 10ms));
     CHECK_TRUE(isFirst(board.order(start + 200ms, table, {}), "dead"));
 }
 
@@ -93,8 +93,8 @@
 {
     const auto table = tableOf({instance("a", "harbour"), instance("b", "harbour")});
     LoadBoard board("harbour");
-    board.onReport(start, load("a", 0, 10ms));
-    board.onReport(start, load("b", 5, 50ms));
+    board.onReport(load("a", 0, 10ms));
+    board.onReport(load("b", 5, 50ms));
     const std::vector tried{Model::instanceId("a")};
     const auto chain = board.order(start, table, tried);
     CHECK_TRUE(isFirst(chain, "b"));
