--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -7,6 +7,7 @@
 #include "control/configurationfollower.h"
 #include "control/memberdirectory.h"
 #include "forwarding/balancertraffic.h"
+#include "forwarding/withdrawal.h"
 #include "observability/adminserver.h"
 #include "platform/objectstore.h"
 #include "platform/operatorconfiguration.h"
@@ -38,10 +39,6 @@
 /// How often the main thread looks for changed settings and newer configurations.
 static constexpr std::chrono::milliseconds ControlInterval{100};
 
-/// Time in which the platform's routers stop to send packets: two missed readiness checks, half a
-/// second apart, and half a second for packets on their way.
-static constexpr std::chrono::milliseconds WithdrawalTime{1500};
-
 static constexpr const char *ConfigurationPage = "/snapshot";
 
 static nlohmann::json stateOf(const std::string &name, Traffic &traffic, const Follower &follower,
@@ -165,7 +162,10 @@
         });
     log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
     isStopping = true;
-    std::this_thread::sleep_for(WithdrawalTime);
+    Forwarding::Withdrawal withdrawal(std::chrono::steady_clock::now(),
+                                      traffic.counters().received);
+    while (!withdrawal.isOver(std::chrono::steady_clock::now(), traffic.counters().received))
+        std::this_thread::sleep_for(ControlInterval);
     traffic.stop(false);
 }
 
--- /dev/null
+++ b/tests/auto/forwarding/tst_withdrawal.cpp
@@ -0,0 +1,34 @@
+#include "forwarding/withdrawal.h"
+
+#include "property.h"
+
+using namespace Forwarding;
+using namespace std::chrono_literals;
+
+static const Withdrawal::TimePoint start = Withdrawal::TimePoint() + 100s;
+
+TEST_GROUP(Withdrawal){};
+
+TEST(Withdrawal, EndsOnceRoutersNoticedAndNothingArrives)
+{
+    Withdrawal withdrawal(start, 7);
+    CHECK_FALSE(withdrawal.isOver(start + WithdrawalTime - 1ms, 7));
+    CHECK_TRUE(withdrawal.isOver(start + WithdrawalTime, 7));
+}
+
+TEST(Withdrawal, GoesOnWhileRoutersHaveNoOtherChoice)
+{
+    Withdrawal withdrawal(start, 7);
+    std::uint64_t received = 7;
+    for (auto time = 0ms; time < LongestWithdrawal; time += 100ms)
+        CHECK_FALSE(withdrawal.isOver(start + time, ++received));
+    CHECK_TRUE(withdrawal.isOver(start + LongestWithdrawal, ++received));
+}
+
+TEST(Withdrawal, EndsSoonAfterTheLastPacket)
+{
+    Withdrawal withdrawal(start, 7);
+    CHECK_FALSE(withdrawal.isOver(start + 2000ms, 8));
+    CHECK_FALSE(withdrawal.isOver(start + 2000ms + QuietTime - 1ms, 8));
+    CHECK_TRUE(withdrawal.isOver(start + 2000ms + QuietTime, 8));
+}
