A server that starts after a step of the clock is believed; views are logged

Cause: found by reading: an agent ordered the starts of its backend server by their time of day alone, so that a start after a step back was never believed, and its drain acknowledged without effect.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -233,8 +233,11 @@
         return BeatOutcome::OtherPlace;
     if (backend_) {
         const bool isSameStart = beat.id == backend_->id && beat.bornMs == backend_->bornMs;
-        const bool isOvertaken =
-            isSameStart ? beat.sequence <= backend_->sequence : beat.bornMs <= backend_->bornMs;
+        // After a step of the clock a later start has a smaller time; the silence of the other
+        // tells.
+        const bool isKnownSilent = now - lastBeat_ >= options_.beatInterval * BeatMargin;
+        const bool isOvertaken = isSameStart ? beat.sequence <= backend_->sequence
+                                             : beat.bornMs <= backend_->bornMs && !isKnownSilent;
         if (isOvertaken)
             return BeatOutcome::Overtaken;
         if (!isSameStart) {
@@ -248,6 +251,7 @@
     }
     const bool wasAccepting = isAccepting(now);
     backend_ = beat;
+    lastBeat_ = now;
     lastBackendSign_ = now;
     unansweredSyn_.reset();
     if (isAccepting(now) != wasAccepting)
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -194,6 +194,7 @@
     bool hasLeft_ = false;
     TimePoint started_;
     std::optional<TimePoint> viewChanged_;   ///< the latest change of the roster by a balancer
+    TimePoint lastBeat_;                     ///< the latest beat that was taken
     TimePoint lastBackendSign_;              ///< the latest packet or beat of the backend server
     std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
     std::map<Model::Endpoint, std::vector<Tunnel::ClaimedFlow>> claims_;
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -104,6 +104,10 @@
     {
         const std::lock_guard guard(mutex_);
         control_.send(tunnel_.descriptor(), core_.tick(now));
+        const AgentStatus status = core_.status(now);
+        if (status.isAccepting != wasAccepting_)
+            logAccepting(status);
+        wasAccepting_ = status.isAccepting;
         sendResets();
         for (const std::chrono::duration<double> taken : core_.takeAnswerTimes())
             answerSeconds_.Observe(taken.count());
@@ -238,6 +242,7 @@
     std::size_t headerCount_ = 0;
     std::unordered_map<Model::FlowKey, std::vector<std::byte>> held_; ///< packets by flow
     ControlSender control_;
+    bool wasAccepting_ = false;
     TrafficThread<AgentTraffic> thread_;
 };
 
--- a/src/libs/forwarding/balancertraffic.h
+++ b/src/libs/forwarding/balancertraffic.h
@@ -78,6 +78,9 @@
     {
         const std::lock_guard guard(mutex_);
         control_.send(tunnel_.descriptor(), core_.tick(now));
+        if (core_.table().version() != loggedVersion_)
+            logView(core_.roster(), core_.configuration().generation);
+        loggedVersion_ = core_.table().version();
     }
 
 private:
@@ -135,6 +138,7 @@
     Tunnel::SendBatch outgoing_;
     std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
     ControlSender control_;
+    std::uint64_t loggedVersion_ = 0;
     TrafficThread<BalancerTraffic> thread_;
 };
 
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -98,6 +98,33 @@
     logDecisionLine(Level::Warning, "flow-not-admitted", {{"flow", Model::flowText(flow)}});
 }
 
+void logAccepting(const AgentStatus &status)
+{
+    logDecisionLine(Level::Info, "accepting",
+                    {{"value", status.isAccepting},
+                     {"waiting", status.waiting},
+                     {"open", status.openFlows},
+                     {"answerMicros", status.answerTime.count()}});
+}
+
+void logView(const Membership::Roster &roster, Model::Generation generation)
+{
+    std::size_t ready = 0;
+    std::string others;
+    for (const Model::Instance &agent : roster.agents()) {
+        if (agent.state == Model::InstanceState::Ready)
+            ++ready;
+        else
+            others += fmt::format("{}{}:{}", others.empty() ? "" : ",", agent.name,
+                                  Model::stateText(agent.state));
+    }
+    logDecisionLine(Level::Info, "members-changed",
+                    {{"readyAgents", ready},
+                     {"others", others},
+                     {"balancers", roster.balancers().size()},
+                     {"generation", std::uint64_t(generation)}});
+}
+
 void logBackendReset(const Tunnel::TcpPacket &packet)
 {
     logDecisionLine(Level::Info, "flow-reset-by-backend",
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -26,6 +26,12 @@
 void logAdmitted(const Model::FlowKey &flow);
 void logExpired(const Model::FlowKey &flow);
 
+/// Writes a line when an agent begins or ceases to accept flows, with what it knows of its server.
+void logAccepting(const AgentStatus &status);
+
+/// Writes a line when a balancer's view of the members changed.
+void logView(const Membership::Roster &roster, Model::Generation generation);
+
 /// Writes a line for a flow that the backend server reset.
 void logBackendReset(const Tunnel::TcpPacket &packet);
 
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -305,6 +305,22 @@
     CHECK_TRUE(core.status(world.now()).isAccepting);
 }
 
+TEST(Fleet, AServerThatStartsAfterAStepOfTheClockIsBelieved)
+{
+    World world(1, 1);
+    Backend &backend = world.agent(0).backend;
+    const auto before = backend.bornMs;
+    backend.isAlive = false;
+    world.run(BeatInterval * 3);
+    world.replaceBackend(0, false);
+    backend.bornMs = before - 50;
+    world.beat(0);
+    world.drain(0);
+    CHECK_FALSE(world.agent(0).core->status(world.now()).isAccepting);
+    openFlows(world, 4);
+    LONGS_EQUAL(0, backend.synsAfterDrain);
+}
+
 TEST(Fleet, ControlTrafficOfAnIdleAgentStaysWithinItsBudget)
 {
     World world(4, 6);
