--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -7,6 +7,9 @@
 using Observability::Level;
 using Observability::logDecisionLine;
 
+/// Agents that one line names at most.
+static constexpr std::size_t MaxNamedAgents = 8;
+
 static std::string hopText(const SendOn &sendOn)
 {
     return Model::endpointText(sendOn.receiver);
@@ -110,16 +113,18 @@
 void logView(const Membership::Roster &roster, Model::Generation generation)
 {
     std::size_t ready = 0;
+    std::size_t named = 0;
     std::string others;
     for (const Model::Instance &agent : roster.agents()) {
         if (agent.state == Model::InstanceState::Ready)
             ++ready;
-        else
+        else if (++named <= MaxNamedAgents)
             others += fmt::format("{}{}:{}", others.empty() ? "" : ",", agent.name,
                                   Model::stateText(agent.state));
     }
     logDecisionLine(Level::Info, "members-changed",
                     {{"readyAgents", ready},
+                     {"otherAgents", named},
                      {"others", others},
                      {"balancers", roster.balancers().size()},
                      {"generation", std::uint64_t(generation)}});
