--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -27,7 +27,7 @@
     return "unknown";
 }
 
-BalancerCore::BalancerCore(Tunnel::Member self)
+BalancerCore::BalancerCore(const Tunnel::Member &self)
     : self_(self)
     , roster_(self)
     , board_(self.instance.failureDomain)
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -57,7 +57,7 @@
 class BalancerCore
 {
 public:
-    explicit BalancerCore(Tunnel::Member self);
+    explicit BalancerCore(const Tunnel::Member &self);
 
     /// Decides on a packet of a caller.
     BalancerVerdict onCallerPacket(TimePoint now, const Tunnel::TcpPacket &packet);
--- a/src/libs/forwarding/waitingroom.cpp
+++ b/src/libs/forwarding/waitingroom.cpp
@@ -32,17 +32,17 @@
 std::optional<WaitingRoom::HeldSyn> WaitingRoom::take(TimePoint now)
 {
     while (!fresh_.empty() && now - fresh_.front().since > FreshTime) {
-        late_.push_back(std::move(fresh_.front()));
+        late_.push_back(fresh_.front());
         fresh_.pop_front();
     }
     if (!fresh_.empty()) {
-        HeldSyn held = std::move(fresh_.back());
+        const HeldSyn held = fresh_.back();
         fresh_.pop_back();
         return held;
     }
     if (late_.empty())
         return std::nullopt;
-    HeldSyn held = std::move(late_.front());
+    const HeldSyn held = late_.front();
     late_.pop_front();
     return held;
 }
