--- a/src/libs/store/httpobjectclient.cpp
+++ b/src/libs/store/httpobjectclient.cpp
@@ -41,7 +41,7 @@
     : caller_(platform, timeout)
 {}
 
-boost::leaf::result<HttpAnswer> HttpObjectClient::call(HttpCall request)
+boost::leaf::result<HttpAnswer> HttpObjectClient::call(const HttpCall &request)
 {
     BOOST_LEAF_AUTO(answer, caller_.call(request));
     if (const auto failure = failureOf(answer.status))
--- a/src/libs/store/httpobjectclient.h
+++ b/src/libs/store/httpobjectclient.h
@@ -43,7 +43,7 @@
 
 private:
     /// Makes a call and turns a status other than success into a Failure.
-    boost::leaf::result<HttpAnswer> call(HttpCall request);
+    boost::leaf::result<HttpAnswer> call(const HttpCall &request);
 
     HttpCaller caller_;
 };
