--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -286,7 +286,7 @@
 
     void after(std::chrono::microseconds wait, std::function<void()> act)
     {
-        events_.push({now_ + wait, ++events, std::move(act)});
+        events_.push({now_ + wait, ++eventCount_, std::move(act)});
     }
 
     bool isLost()
@@ -495,7 +495,7 @@
     }
 
     TimePoint now_ = TimePoint() + 1000s;
-    std::uint64_t events = 0;
+    std::uint64_t eventCount_ = 0;
     std::priority_queue<Event> events_;
     std::vector<BalancerNode> balancers_;
     std::vector<AgentNode> agents_;
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -223,6 +223,7 @@
     for (std::size_t index = 0; index < 3; ++index) {
         world.stopAgent(index, false);
         std::vector<std::size_t> callers;
+        callers.reserve(6);
         for (int number = 0; number < 6; ++number)
             callers.push_back(world.open(0));
         world.run(200ms);
