Agents count the requests that are answered before a new flow's request arrives

Change: LoadMeter::occupancy() takes off what is answered during a usual handshake (the rate is the requests there over their answer time) and counts flows that still open by the share that usually brings a request; a flow is overdue after three usual handshakes, 10 to 50 ms.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -39,9 +39,9 @@
 /// Flows that one backend server may hold, as the services' connections are bounded.
 static constexpr std::size_t MaxOpenFlows = 2000;
 
-/// Waiting requests beyond the slots up to which an agent takes a new flow. One keeps a slot from
-/// idling during a handshake; more would wait at the backend server in the order of their arrival,
-/// where a later one that can still be in time can't go first.
+/// Requests beyond the slots that may wait at the backend server when that of a new flow arrives.
+/// One keeps a slot from idling; more would wait in the order of their arrival, where a later one
+/// that can still be in time can't go first.
 static constexpr std::uint32_t SpareWaiting = 1;
 
 /// Times its interval that a beat may be late.
@@ -91,7 +91,7 @@
 bool AgentCore::hasSpare(TimePoint now)
 {
     const std::uint32_t slots = backend_ ? std::max(1u, backend_->slots) : 1;
-    return meter_.waiting(now) < slots + SpareWaiting;
+    return meter_.occupancy(now) < slots + SpareWaiting;
 }
 
 Flows::Room AgentCore::room(TimePoint now)
--- a/src/libs/placement/loadmeter.cpp
+++ b/src/libs/placement/loadmeter.cpp
@@ -16,16 +16,29 @@
 /// mean must not look like a server that hangs.
 static constexpr double OldestAgeShare = 0.25;
 
+/// Weight of the newest flow in the smoothed time and share of those that open.
+static constexpr double NewestOpeningWeight = 0.05;
+
+/// Share of the waiting requests that may count as answered before the next one arrives: the rest
+/// keeps the slots busy where an answer takes longer than expected.
+static constexpr double MostAnswered = 0.5;
+
 void LoadMeter::onOpening(TimePoint now, const Model::FlowKey &flow)
 {
-    requests_.try_emplace(flow, Request{now, now, false});
+    if (requests_.try_emplace(flow, Request{now, now, false}).second)
+        ++expected_;
 }
 
 void LoadMeter::onRequestBytes(TimePoint now, const Model::FlowKey &flow)
 {
     const auto [request, isNew] = requests_.try_emplace(flow, Request{now, now, true});
-    if (!isNew && !request->second.hasBytes)
+    if (!isNew && !request->second.hasBytes) {
+        const std::chrono::duration<double, std::micro> taken = now - request->second.firstBytes;
+        openingMicros_ += NewestOpeningWeight * (taken.count() - openingMicros_);
+        arrivingShare_ += NewestOpeningWeight * (1 - arrivingShare_);
+        --expected_;
         request->second.firstBytes = now;
+    }
     request->second.lastBytes = now;
     request->second.hasBytes = true;
 }
@@ -40,8 +53,10 @@
     const auto taken =
         std::chrono::duration_cast<std::chrono::microseconds>(now - request->second.lastBytes);
     requests_.erase(request);
-    if (!hadBytes)
+    if (!hadBytes) {
+        --expected_;
         return std::nullopt;
+    }
     smoothedMicros_ += smoothedMicros_ == 0
                            ? double(taken.count())
                            : NewestAnswerWeight * (double(taken.count()) - smoothedMicros_);
@@ -51,20 +66,46 @@
 
 void LoadMeter::onGone(const Model::FlowKey &flow)
 {
-    requests_.erase(flow);
+    if (const auto request = requests_.find(flow); request != requests_.end()) {
+        expected_ -= request->second.hasBytes ? 0 : 1;
+        requests_.erase(request);
+    }
 }
 
 void LoadMeter::clear()
 {
     requests_.clear();
+    expected_ = 0;
     smoothedMicros_ = 0;
 }
 
-std::uint32_t LoadMeter::waiting(TimePoint now)
+void LoadMeter::dropOverdue(TimePoint now)
 {
-    std::erase_if(requests_, [now](const auto &entry) {
-        return !entry.second.hasBytes && now - entry.second.lastBytes > ExpectedRequest;
+    if (expected_ == 0)
+        return;
+    using Micros = std::chrono::duration<double, std::micro>;
+    const Micros limit = std::clamp(Micros(OverdueFactor * openingMicros_),
+                                    Micros(LeastExpectedRequest), Micros(ExpectedRequest));
+    const auto dropped = std::erase_if(requests_, [&](const auto &entry) {
+        return !entry.second.hasBytes && now - entry.second.lastBytes > limit;
     });
+    expected_ -= dropped;
+    for (std::size_t flow = 0; flow < dropped; ++flow)
+        arrivingShare_ -= NewestOpeningWeight * arrivingShare_;
+}
+
+double LoadMeter::occupancy(TimePoint now)
+{
+    dropOverdue(now);
+    const auto atServer = double(requests_.size() - expected_);
+    // As many are answered in a time as arrive, at the rate of those there over their answer time.
+    const double answered = smoothedMicros_ > 0 ? openingMicros_ / smoothedMicros_ : 0;
+    return atServer * (1 - std::min(answered, MostAnswered)) + double(expected_) * arrivingShare_;
+}
+
+std::uint32_t LoadMeter::waiting(TimePoint now)
+{
+    dropOverdue(now);
     return std::uint32_t(requests_.size());
 }
 
--- a/tests/auto/placement/tst_loadmeter.cpp
+++ b/tests/auto/placement/tst_loadmeter.cpp
@@ -57,3 +57,58 @@
         meter.answerTime(start + std::chrono::seconds(second));
     CHECK_TRUE(meter.answerTime(start + 8s) < 30ms);
 }
+
+/// Opens \a flow at \a now; its request arrives \a opening later.
+static void openFlow(LoadMeter &meter, LoadMeter::TimePoint now, const Model::FlowKey &flow,
+                     std::chrono::milliseconds opening)
+{
+    meter.onOpening(now, flow);
+    meter.onRequestBytes(now + opening, flow);
+}
+
+TEST(LoadMeter, AFastServerHasRoomBeforeItsRequestsAreAnswered)
+{
+    for (const auto &[answerTime, most] : {std::pair(12ms, 2.1), std::pair(70ms, 3.0)}) {
+        LoadMeter meter;
+        auto now = start;
+        for (std::uint16_t number = 0; number < 100; ++number, now += 100ms) {
+            openFlow(meter, now, flow(number), 6ms);
+            meter.onAnswerBytes(now + 6ms + answerTime, flow(number));
+        }
+        for (std::uint16_t number = 200; number < 203; ++number)
+            meter.onRequestBytes(now, flow(number));
+        CHECK_TRUE(meter.occupancy(now) <= most);
+        CHECK_TRUE(meter.occupancy(now) >= most - 0.6);
+    }
+}
+
+TEST(LoadMeter, FlowsThatOftenBringNoRequestCountInPart)
+{
+    LoadMeter meter;
+    auto now = start;
+    for (std::uint16_t number = 0; number < 200; ++number, now += 100ms) {
+        if (number % 2 == 0)
+            openFlow(meter, now, flow(number), 6ms);
+        else
+            meter.onOpening(now, flow(number));
+        meter.waiting(now + 60ms);
+        meter.onGone(flow(number));
+    }
+    for (std::uint16_t number = 300; number < 304; ++number)
+        meter.onOpening(now, flow(number));
+    CHECK_TRUE(meter.occupancy(now) < 2.5);
+    CHECK_TRUE(meter.occupancy(now) > 1.5);
+}
+
+TEST(LoadMeter, ANewFlowIsOverdueSoonWhereRequestsComeSoon)
+{
+    LoadMeter meter;
+    auto now = start;
+    for (std::uint16_t number = 0; number < 100; ++number, now += 100ms) {
+        openFlow(meter, now, flow(number), 5ms);
+        meter.onGone(flow(number));
+    }
+    meter.onOpening(now, flow(200));
+    LONGS_EQUAL(1, meter.waiting(now + LeastExpectedRequest));
+    LONGS_EQUAL(0, meter.waiting(now + 16ms));
+}
