Late SYNs that wait: the newest goes first

Change: late ones are taken newest first, like the others. Kept for the callers: a place that is not kept for one who left serves another.

--- a/src/libs/forwarding/waitingroom.cpp
+++ b/src/libs/forwarding/waitingroom.cpp
@@ -42,8 +42,8 @@
     }
     if (late_.empty())
         return std::nullopt;
-    const HeldSyn held = late_.front();
-    late_.pop_front();
+    const HeldSyn held = late_.back();
+    late_.pop_back();
     return held;
 }
 
--- a/src/libs/forwarding/waitingroom.h
+++ b/src/libs/forwarding/waitingroom.h
@@ -23,7 +23,8 @@
 /// Answers swings and recoveries, in which more callers come than can be served at once: a caller
 /// would send its SYN again only after 200 ms, while a slot is free in a few. The newest goes
 /// first: when more come than can be served, serving the oldest first would make all of them late.
-/// Not thread-safe.
+/// Of those that are late already the newest goes first too: its caller was there a moment ago, while
+/// an older one may have given up, and a flow opened for it keeps a place empty. Not thread-safe.
 class WaitingRoom
 {
 public:
@@ -44,7 +45,7 @@
     bool hold(TimePoint now, const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
 
     /// Returns the SYN to be accepted next: the newest one that may still be served in time, or
-    /// else the oldest of the others.
+    /// else the newest of the others.
     std::optional<HeldSyn> take(TimePoint now);
 
     /// Returns the flows whose SYNs were held in vain; they are forgotten.
