Servers that fail requests under a good health answer lose their share, and then their flows

Ruled out: health checks (they succeed, and are priced), crashes (silence was handled).

Change: the codec reads the status of an answer that begins in a packet; the agent keeps a smoothed share of server errors, and of resets in place of an answer, and reports it; balancers count it as time (500 ms a failed answer) and leave out servers above 0.3, unless more than half of the service fail.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -220,7 +220,21 @@
     return DeliverToBackend{marks_.add(header)};
 }
 
-AgentVerdict AgentCore::onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet)
+bool isServerError(int status)
+{
+    return status >= 500;
+}
+
+void AgentCore::noteAnswer(TimePoint now, bool failed)
+{
+    failures_.onAnswer(now, failed);
+    const bool isOutlier = failures_.share(now) >= Placement::OutlierShare;
+    if (isOutlier != std::exchange(reportedOutlier_, isOutlier))
+        pacer_.onUrgentChange();
+}
+
+AgentVerdict AgentCore::onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet,
+                                        std::optional<int> status)
 {
     lastBackendSign_ = now;
     unansweredSyn_.reset();
@@ -234,6 +248,10 @@
         if (const auto taken = meter_.onAnswerBytes(now, packet.flow))
             answerTimes_.push_back(*taken);
     }
+    if (status)
+        noteAnswer(now, isServerError(*status));
+    else if (packet.rst && meter_.isWaiting(packet.flow))
+        noteAnswer(now, true);
     if (packet.fin || packet.rst) {
         meter_.onGone(packet.flow);
         if (const auto track = tracks_.find(packet.flow); track != tracks_.end()) {
@@ -324,6 +342,7 @@
     }
     tracks_.clear();
     meter_.clear();
+    failures_.clear();
 }
 
 std::vector<ResetFlow> AgentCore::takeResets()
@@ -426,6 +445,7 @@
     report.open = std::uint32_t(director_.openCount());
     report.slots = backend_ ? backend_->slots : 0;
     report.answerTime = meter_.answerTime(now);
+    report.failureShare = failures_.share(now);
     report.rosterDigest = roster_.digest();
     return report;
 }
@@ -533,7 +553,7 @@
 {
     return {isAccepting(now),          meter_.waiting(now), director_.openCount(),
             director_.redirectCount(), waitingRoom_.size(), search_.size(),
-            meter_.answerTime(now)};
+            meter_.answerTime(now), failures_.share(now)};
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -7,6 +7,7 @@
 #include "forwarding/flowsearch.h"
 #include "forwarding/waitingroom.h"
 #include "membership/roster.h"
+#include "placement/failuremeter.h"
 #include "placement/loadmeter.h"
 
 #include <chrono>
@@ -83,6 +84,10 @@
     DeliveryMark mark{};
 };
 
+/// Whether the answer's \a status says that the server failed, rather than that the request was
+/// wrong. Thread-safe.
+bool isServerError(int status);
+
 /// How an agent stands to its backend server.
 struct AgentStatus
 {
@@ -93,6 +98,7 @@
     std::size_t heldSyns = 0;
     std::size_t searched = 0; ///< flows whose owner is searched for
     std::chrono::microseconds answerTime{0};
+    double failureShare = 0;
 };
 
 /// Decides on an agent that carries packets between balancers and one backend server.
@@ -120,8 +126,10 @@
                                 const Tunnel::PacketHeader &header,
                                 const Tunnel::TcpPacket &packet);
 
-    /// Decides on \a packet, which the backend server sent.
-    AgentVerdict onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet);
+    /// Decides on \a packet, which the backend server sent; \a status is that of the answer that
+    /// begins in it, if one does.
+    AgentVerdict onBackendPacket(TimePoint now, const Tunnel::TcpPacket &packet,
+                                 std::optional<int> status);
 
     /// Decides on \a packet of a caller, which the backend server returned with \a mark.
     AgentVerdict onReturnedPacket(TimePoint now, const Tunnel::TcpPacket &packet,
@@ -201,6 +209,7 @@
     void claimAtRegistrar(const Model::FlowKey &flow);
     void forgetFlow(const Model::FlowKey &flow);
     void endFlowsBefore(TimePoint limit);
+    void noteAnswer(TimePoint now, bool failed);
     void rebuild();
     bool isAccepting(TimePoint now) const;
     Tunnel::Report report(TimePoint now);
@@ -212,6 +221,7 @@
     ControlPacer pacer_;
     Flows::FlowDirector director_;
     Placement::LoadMeter meter_;
+    Placement::FailureMeter failures_;
     DeliveryMarks marks_;
     WaitingRoom waitingRoom_;
     FlowSearch search_;
@@ -232,6 +242,7 @@
     TimePoint lastSweep_;
     std::uint64_t reportNumber_ = 0;
     std::uint32_t reportedWaiting_ = 0;
+    bool reportedOutlier_ = false;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -156,7 +156,10 @@
             const Tunnel::TcpPacket segment = backendSegment(*packet);
             if (segment.rst)
                 logBackendReset(segment);
-            act(segment, core_.onBackendPacket(now, segment), bytes);
+            const auto status = segment.payloadBytes > 0 ? Codec::answerStatus(bytes) : std::nullopt;
+            act(segment, core_.onBackendPacket(now, segment, status), bytes);
+            if (status && isServerError(*status))
+                logFailedAnswer(segment, *status, core_.status(now));
             return;
         }
         ++counters_.returned;
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -134,6 +134,15 @@
                      {"generation", std::uint64_t(generation)}});
 }
 
+void logFailedAnswer(const Tunnel::TcpPacket &packet, int status, const AgentStatus &agent)
+{
+    logDecisionLine(Level::Warning, "answer-failed",
+                    {{"flow", Model::flowText(packet.flow)},
+                     {"status", status},
+                     {"failureShare", agent.failureShare},
+                     {"waiting", agent.waiting}});
+}
+
 void logBackendReset(const Tunnel::TcpPacket &packet)
 {
     logDecisionLine(Level::Info, "flow-reset-by-backend",
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -32,6 +32,9 @@
 /// Writes a line when a balancer's view of the members changed.
 void logView(const Membership::Roster &roster, Model::Generation generation);
 
+/// Writes a line for an answer with the error \a status, and what it means for the server.
+void logFailedAnswer(const Tunnel::TcpPacket &packet, int status, const AgentStatus &agent);
+
 /// Writes a line for a flow that the backend server reset.
 void logBackendReset(const Tunnel::TcpPacket &packet);
 
--- a/src/libs/forwarding/packetcodec.h
+++ b/src/libs/forwarding/packetcodec.h
@@ -39,6 +39,9 @@
     {
         C::requestId(bytes)
         } -> std::same_as<std::optional<std::string_view>>;
+    {
+        C::answerStatus(bytes)
+        } -> std::same_as<std::optional<int>>;
     {
         C::setMark(writable, mark)
         } -> std::same_as<void>;
--- a/src/libs/placement/loadboard.cpp
+++ b/src/libs/placement/loadboard.cpp
@@ -20,6 +20,7 @@
     load.waiting = report.waiting;
     load.usualWaiting += NewestReportWeight * (load.waiting - load.usualWaiting);
     load.answerTime = report.answerTime;
+    load.failureShare = report.failureShare;
     load.placedSince = 0;
 }
 
@@ -50,7 +51,8 @@
     const double waiting = (load.waiting + load.usualWaiting) / 2 + load.placedSince;
     const double otherDomain =
         instance.failureDomain == failureDomain_ ? 0 : Micros(OtherDomainCost).count();
-    return answerTime * (waiting + 1) + otherDomain;
+    const double failures = load.failureShare * Micros(FailureCost).count();
+    return answerTime * (waiting + 1) + failures + otherDomain;
 }
 
 Routing::Chain LoadBoard::order(TimePoint now, const Routing::ServiceTable &table,
@@ -58,6 +60,7 @@
 {
     struct Candidate
     {
+        bool isOutlier = false;
         bool isLast = false;
         double cost = 0;
         Routing::Hop hop;
@@ -72,10 +75,16 @@
         const bool isSilent = load != loads_.end() && load->second.placedSince > 0
                               && now - load->second.placedFirst > PlacementSilence;
         const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
-        candidates.push_back({isSilent || wasTried,
+        const bool isOutlier = load != loads_.end() && load->second.failureShare >= OutlierShare;
+        candidates.push_back({isOutlier,
+                              isSilent || wasTried,
                               costOf(instance, id),
                               {id, instance.incarnation, instance.tunnel}});
     }
+    const auto isOutlier = [](const Candidate &candidate) { return candidate.isOutlier; };
+    const auto outliers = std::count_if(candidates.begin(), candidates.end(), isOutlier);
+    if (double(outliers) <= MostOutliers * double(candidates.size()))
+        std::erase_if(candidates, isOutlier);
     const auto count = std::min(candidates.size(), Routing::MaxChainLength);
     std::partial_sort(candidates.begin(), candidates.begin() + std::ptrdiff_t(count),
                       candidates.end(), [](const Candidate &left, const Candidate &right) {
--- a/src/libs/placement/loadboard.h
+++ b/src/libs/placement/loadboard.h
@@ -26,10 +26,23 @@
 /// follow a change within ReportSpacing; the rest covers a processor shared by others.
 constexpr std::chrono::milliseconds PlacementSilence{150};
 
+/// What a failed answer costs a caller: another attempt with all its waits, twice the loosest
+/// latency objective of requests that people wait for, 250 ms. Orders that failed are lost.
+constexpr std::chrono::milliseconds FailureCost{500};
+
+/// Share of failed answers from which on a server gets no new flow, while most others do better.
+constexpr double OutlierShare = 0.3;
+
+/// Largest part of a service's servers that may be left out as outliers: where more fail, the
+/// requests or something behind all servers is the cause, and leaving servers out only adds load.
+constexpr double MostOutliers = 0.5;
+
 /// What the agents report, and which of them a balancer offers a new flow to first.
 ///
 /// Answers swings of demand and backend servers of unequal speed: a flow goes to where its request
-/// is answered first, counting the flows placed since the last report. Without sockets, threads or
+/// is answered first, counting the flows placed since the last report. Answers servers that fail
+/// requests while their health check is good, which would draw all load since they fail fast: what
+/// they failed counts as time, and those that fail much are left out. Without sockets, threads or
 /// clocks; not thread-safe.
 class LoadBoard
 {
@@ -57,6 +70,7 @@
         double usualWaiting = 0; ///< smoothed
         double placedSince = 0;  ///< flows placed after the last report
         std::chrono::microseconds answerTime{0};
+        double failureShare = 0;
         TimePoint placedFirst; ///< the first placement after the last report
     };
 
--- a/src/libs/placement/loadmeter.cpp
+++ b/src/libs/placement/loadmeter.cpp
@@ -72,6 +72,12 @@
     }
 }
 
+bool LoadMeter::isWaiting(const Model::FlowKey &flow) const
+{
+    const auto request = requests_.find(flow);
+    return request != requests_.end() && request->second.hasBytes;
+}
+
 void LoadMeter::clear()
 {
     requests_.clear();
--- a/src/libs/placement/loadmeter.h
+++ b/src/libs/placement/loadmeter.h
@@ -42,6 +42,9 @@
     /// Notes that \a flow is over.
     void onGone(const Model::FlowKey &flow);
 
+    /// Whether a request of \a flow waits for its answer.
+    bool isWaiting(const Model::FlowKey &flow) const;
+
     /// Forgets everything, since the backend server was replaced.
     void clear();
 
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -86,6 +86,7 @@
       knownMembers @26 :UInt64; # digest of the sender's roster
       wantsRoster @27 :Bool;    # the receiver answers with its roster where the digests differ
       leaves @28 :Bool;         # the sender is gone for good after this report
+      failedPerMille @41 :UInt16; # answers of the backend server that were errors, smoothed
     }
     roster :group {
       members @29 :List(Member); # by name, without gaps between afterName and the last of them
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -1259,6 +1259,8 @@
 
   inline bool getLeaves() const;
 
+  inline  ::uint16_t getFailedPerMille() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1318,6 +1320,9 @@
   inline bool getLeaves();
   inline void setLeaves(bool value);
 
+  inline  ::uint16_t getFailedPerMille();
+  inline void setFailedPerMille( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2169,6 +2174,7 @@
   _builder.setDataField< ::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<352>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<353>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<23>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::Report::Builder(_builder);
@@ -2816,6 +2822,20 @@
       ::capnp::bounded<353>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Datagram::Report::Reader::getFailedPerMille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Datagram::Report::Builder::getFailedPerMille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Report::Builder::setFailedPerMille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<23>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Roster::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -6,9 +6,13 @@
 
 #include <kj/io.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace Tunnel {
 
 static constexpr std::size_t ScratchWords = 192;
+static constexpr double PerMille = 1000;
 static constexpr std::size_t MaxDatagramWords = 65536 / sizeof(capnp::word);
 
 static void writeHop(Rpc::Hop::Builder builder, const Routing::Hop &hop)
@@ -154,6 +158,7 @@
     group.setOpenFlows(report.open);
     group.setSlots(report.slots);
     group.setAnswerMicros(std::uint32_t(report.answerTime.count()));
+    group.setFailedPerMille(std::uint16_t(std::lround(report.failureShare * PerMille)));
     group.setKnownMembers(report.rosterDigest);
     group.setWantsRoster(report.wantsRoster);
     group.setLeaves(report.leaves);
@@ -250,6 +255,7 @@
     report.open = group.getOpenFlows();
     report.slots = group.getSlots();
     report.answerTime = std::chrono::microseconds(group.getAnswerMicros());
+    report.failureShare = std::min(1.0, group.getFailedPerMille() / PerMille);
     report.rosterDigest = group.getKnownMembers();
     report.wantsRoster = group.getWantsRoster();
     report.leaves = group.getLeaves();
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -88,6 +88,7 @@
     std::uint32_t open = 0;                  ///< flows
     std::uint32_t slots = 0;                 ///< requests that the backend server runs at once
     std::chrono::microseconds answerTime{0}; ///< smoothed, from a request's end to its answer
+    double failureShare = 0;                 ///< smoothed share of answers that were errors
     std::uint64_t rosterDigest = 0;
     bool wantsRoster = false; ///< the receiver sends its roster where the digests differ
     bool leaves = false;      ///< the sender is gone for good after this report
--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -40,6 +40,7 @@
     std::map<Model::FlowKey, std::uint32_t> answered; ///< sequence of each SYN+ACK
     std::set<Model::FlowKey> flows;                   ///< open, as the handshake told
     std::uint64_t synsAfterDrain = 0;
+    int answerStatus = 200;
 };
 
 struct AgentNode
@@ -479,7 +480,10 @@
             AgentNode &node = agents_[index];
             if (!node.core)
                 return;
-            node.core->onBackendPacket(now_, packet);
+            const bool isAnswer = packet.payloadBytes > 0;
+            node.core->onBackendPacket(now_, packet,
+                                       isAnswer ? std::optional(node.backend.answerStatus)
+                                                : std::nullopt);
             finishAgent(index);
             if (packet.syn)
                 after(Hop, [this, index, packet] { onSynAck(index, packet); });
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -317,6 +317,36 @@
     }
 }
 
+TEST(Fleet, AServerThatFailsItsRequestsSoonGetsNoNewFlows)
+{
+    World world(2, 6);
+    world.agent(3).backend.answerStatus = 500;
+    std::size_t atFailing = 0;
+    for (std::size_t number = 0; number < 60; ++number) {
+        const auto caller = world.open(number % 2);
+        world.run(10ms);
+        world.sendData(caller, number % 2);
+        world.run(10ms);
+        atFailing += number >= 30 && world.caller(caller).owner == 3;
+    }
+    LONGS_EQUAL(0, atFailing);
+    LONGS_EQUAL(60, heldCount(world));
+}
+
+TEST(Fleet, AServiceWhoseServersAllFailIsStillReached)
+{
+    World world(2, 4);
+    for (std::size_t index = 0; index < 4; ++index)
+        world.agent(index).backend.answerStatus = 500;
+    for (std::size_t number = 0; number < 60; ++number) {
+        const auto caller = world.open(number % 2);
+        world.run(10ms);
+        world.sendData(caller, number % 2);
+        world.run(10ms);
+    }
+    LONGS_EQUAL(60, heldCount(world));
+}
+
 TEST(Fleet, ServicesNeverMixWhenAnAddressIsUsedByAnother)
 {
     World world(2, 6, "yard-ticket");
--- a/tests/auto/placement/tst_loadboard.cpp
+++ b/tests/auto/placement/tst_loadboard.cpp
@@ -107,3 +107,40 @@
                                 instance("suspect", "harbour", Model::InstanceState::Suspect)});
     CHECK_TRUE(LoadBoard("harbour").order(start, table, {}).isEmpty());
 }
+
+static Tunnel::Report failing(const std::string &name, double share)
+{
+    Tunnel::Report report = load(name, 0, 2ms);
+    report.failureShare = share;
+    return report;
+}
+
+TEST(LoadBoard, AServerThatFailsFastDrawsNoLoad)
+{
+    const auto table = tableOf({instance("good", "harbour"), instance("bad", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(load("good", 3, 40ms));
+    board.onReport(failing("bad", OutlierShare));
+    const auto chain = board.order(start, table, {});
+    LONGS_EQUAL(1, chain.size());
+    CHECK_TRUE(isFirst(chain, "good"));
+    // A few failures cost it share, but do not exclude it.
+    board.onReport(failing("bad", OutlierShare / 2));
+    LONGS_EQUAL(2, board.order(start, table, {}).size());
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "good"));
+    board.onReport(load("good", 30, 40ms));
+    CHECK_TRUE(isFirst(board.order(start, table, {}), "bad"));
+}
+
+TEST(LoadBoard, FailuresOfMostServersExcludeNone)
+{
+    const auto table = tableOf(
+        {instance("a", "harbour"), instance("b", "harbour"), instance("c", "harbour")});
+    LoadBoard board("harbour");
+    board.onReport(failing("a", 0.9));
+    board.onReport(load("b", 0, 20ms));
+    board.onReport(load("c", 0, 20ms));
+    LONGS_EQUAL(2, board.order(start, table, {}).size());
+    board.onReport(failing("b", 0.9));
+    LONGS_EQUAL(3, board.order(start, table, {}).size());
+}
--- a/tests/auto/platform_adapter/tst_packetcodec.cpp
+++ b/tests/auto/platform_adapter/tst_packetcodec.cpp
@@ -85,6 +85,22 @@
     CHECK_FALSE(PacketCodec::requestId(bytesOf(exampleSyn)).has_value());
 }
 
+static std::optional<int> statusOf(const std::string &payload)
+{
+    auto bytes = bytesOf(exampleSyn);
+    for (const char letter : payload)
+        bytes.push_back(std::byte(letter));
+    return PacketCodec::answerStatus(bytes);
+}
+
+TEST(PacketCodec, ReadsTheStatusOfTheAnswerThatBegins)
+{
+    LONGS_EQUAL(200, statusOf("HTTP/1.1 200 OK\r\n").value());
+    LONGS_EQUAL(503, statusOf("HTTP/1.1 503").value());
+    for (const char *other : {"", "HTTP/1.1 50", "HTTP/1.1 5x0 ", "HTTP/1.0 200 ", "of a body 500"})
+        CHECK_FALSE(statusOf(other).has_value());
+}
+
 TEST(PacketCodec, AnyBytesAreReadOrRefused)
 {
     checkProperty("any bytes are read or refused", [](const std::vector<std::uint8_t> &random) {
@@ -96,5 +112,7 @@
             RC_ASSERT(packet->segment.payloadBytes + 31 == bytes.size());
         if (bytes.size() >= 31)
             PacketCodec::requestId(bytes);
+        if (bytes.size() >= 31)
+            PacketCodec::answerStatus(bytes);
     });
 }
