--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -126,7 +126,8 @@
                               std::random_device()(), Platform::readOperatorConfiguration,
                               [&traffic](const Model::Configuration &configuration) {
                                   traffic.with([&](Forwarding::BalancerCore &core) {
-                                      core.setConfiguration(configuration);
+                                      core.setConfiguration(std::chrono::steady_clock::now(),
+                                                            configuration);
                                   });
                               }});
     Platform::ObjectStore directoryStore(process.store, StoreTimeout);
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -151,13 +151,17 @@
 
 void logFound(const FoundFlow &found)
 {
-    logDecisionLine(Level::Info, "owner-found",
+    logDecisionLine(Level::Info, found.isProbe ? "owner-probed" : "owner-found",
                     {{"flow", Model::flowText(found.flow)}, {"agent", hopText(found.onward)}});
 }
 
-void logUnfound(const Model::FlowKey &flow)
+void logUnfound(const FlowSearch::Unfound &unfound)
 {
-    logDecisionLine(Level::Warning, "owner-not-found", {{"flow", Model::flowText(flow)}});
+    logDecisionLine(Level::Warning, "owner-not-found",
+                    {{"flow", Model::flowText(unfound.flow)},
+                     {"denied", unfound.denied},
+                     {"peers", unfound.peers},
+                     {"missing", Model::endpointText(unfound.missing)}});
 }
 
 void logReset(const ResetFlow &reset)
