--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -126,8 +126,7 @@
                               std::random_device()(), Platform::readOperatorConfiguration,
                               [&traffic](const Model::Configuration &configuration) {
                                   traffic.with([&](Forwarding::BalancerCore &core) {
-                                      core.setConfiguration(std::chrono::steady_clock::now(),
-                                                            configuration);
+                                      core.setConfiguration(configuration);
                                   });
                               }});
     Platform::ObjectStore directoryStore(process.store, StoreTimeout);
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -34,7 +34,8 @@
 {
     if (std::size_t(header.position) + 1 >= header.chain.size())
         return drop(endCause);
-    if (header.passes >= MaxPasses)
+    // A search over the whole service passes more often; its chains are continued by rank.
+    if (header.passes >= (header.ranksBefore == 0 ? MaxPasses : MaxSearchPasses))
         return drop(DropCause::TooManyPasses);
     ++header.position;
     ++header.passes;
@@ -180,6 +181,24 @@
     return forgotten;
 }
 
+std::optional<Tunnel::PacketHeader> continueSearch(const Routing::ServiceTable &table,
+                                                   const Tunnel::PacketHeader &header,
+                                                   const Model::FlowKey &flow)
+{
+    if (header.passes >= MaxSearchPasses)
+        return std::nullopt;
+    const auto [chain, next] =
+        table.chainAfter(Model::flowHash(flow), header.chain, header.ranksBefore);
+    if (chain.isEmpty())
+        return std::nullopt;
+    Tunnel::PacketHeader onward = header;
+    onward.chain = chain;
+    onward.position = 0;
+    onward.ranksBefore = std::uint8_t(std::min<std::size_t>(next, MaxSearchPasses));
+    ++onward.passes;
+    return onward;
+}
+
 std::optional<Decision> FlowDirector::onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
                                                   const Tunnel::TcpPacket &packet)
 {
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -32,6 +32,9 @@
 /// How often agents may pass a packet on before it counts as going in circles.
 constexpr std::uint8_t MaxPasses = 8;
 
+/// Bound of the same for a search over a whole service, with a margin over its largest size.
+constexpr std::uint8_t MaxSearchPasses = 200;
+
 /// How often a packet may follow a redirect; after that it only walks its chain, since two agents
 /// may hold each other for the owner.
 constexpr std::uint8_t MaxRedirects = 3;
@@ -216,4 +219,10 @@
     bool mayHoldUnknownFlows_ = false;
 };
 
+/// Extends a search that ended with its chain to the instances of \a table that were not asked.
+/// Returns nothing when all were asked, or the packet was passed on as often as is allowed.
+std::optional<Tunnel::PacketHeader> continueSearch(const Routing::ServiceTable &table,
+                                                   const Tunnel::PacketHeader &header,
+                                                   const Model::FlowKey &flow);
+
 } // namespace Flows
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -13,11 +13,6 @@
 /// in under a millisecond; the rest covers a processor shared by others.
 static constexpr std::chrono::milliseconds SynSilence{100};
 
-/// Time without any sign of the backend server after which a probe counts as returned: a server that
-/// runs answers packets in under a millisecond, and beats within 100 ms while nobody acknowledges it.
-/// Five times SynSilence, since a wrong denial can end a flow.
-static constexpr std::chrono::milliseconds ProbeSilence{500};
-
 /// Time without any sign of the backend server after which it gets no new flow: three beats.
 static constexpr std::chrono::milliseconds BackendSilence{4000};
 
@@ -33,6 +28,10 @@
 /// How long a flow without a packet is remembered; longer than any idle timeout of the deployments.
 static constexpr std::chrono::seconds IdleLimit{60};
 
+/// Time without a change of the roster after which it misses no owner that runs, so that a caller
+/// may be told that its flow is gone: two balancers were asked for theirs in it.
+static constexpr std::chrono::milliseconds SettlingTime{2 * Membership::ReportInterval};
+
 /// How long an ended flow is remembered, for copies of its last packets: a caller that misses an
 /// acknowledgement sends again after 200 ms, 400 ms, 800 ms and then every 1.6 s.
 static constexpr std::chrono::seconds EndedLinger{10};
@@ -89,12 +88,6 @@
     return backend_ && !backend_->isDraining && !hasLeft_ && !isSilent;
 }
 
-/// Whether no backend server runs here any more, even if none said so.
-bool AgentCore::isBackendGone(TimePoint now) const
-{
-    return hasLeft_ || now - lastBackendSign_ >= options_.beatInterval * BeatMargin;
-}
-
 bool AgentCore::hasSpare(TimePoint now)
 {
     const std::uint32_t slots = backend_ ? std::max(1u, backend_->slots) : 1;
@@ -110,8 +103,6 @@
                                        const Tunnel::PacketHeader &header,
                                        const Tunnel::TcpPacket &packet)
 {
-    if (header.searcher.isValid())
-        return onProbe(now, service, header, packet);
     const bool wasOwned = director_.owns(packet.flow);
     const Flows::Decision decision = director_.onPacket(now, service, header, packet, room(now));
     if (!wasOwned && director_.owns(packet.flow))
@@ -140,67 +131,57 @@
 AgentVerdict AgentCore::searchOn(TimePoint now, const Tunnel::PacketHeader &header,
                                  const Tunnel::TcpPacket &packet)
 {
-    // Several agents may have answered the SYN of a flow that none of them owns.
-    const bool wasFoundInVain = header.redirects >= Flows::MaxRedirects;
-    if (wasFoundInVain || !search_.hold(now, header, packet))
+    const bool isAskedInTurn = header.ranksBefore > 0;
+    if (!isAskedInTurn && !packet.opensFlow() && search_.hold(now, header, packet))
+        return HoldForSearch{};
+    if (const auto onward = Flows::continueSearch(*table_, header, packet.flow))
+        return SendOn{{service_, {}, *onward}, onward->chain[0].tunnel};
+    if (packet.rst || packet.opensFlow() || !isViewWhole(now))
         return Flows::DropCause::NoOwner;
-    return HoldForSearch{};
-}
-
-/// Returns \a header for the packet's way to \a agent alone.
-static Tunnel::PacketHeader headerTo(const Routing::Hop &agent, const Tunnel::PacketHeader &header)
-{
-    Tunnel::PacketHeader onward = header;
-    onward.chain = {};
-    onward.chain.append(agent);
-    onward.position = 0;
-    ++onward.passes;
-    ++onward.redirects;
-    return onward;
+    return ResetFlow{packet.flow, packet.acknowledgement};
 }
 
 std::vector<FoundFlow> AgentCore::takeFound(TimePoint now)
 {
-    std::vector<FoundFlow> sent;
-    for (const auto &[held, owner, isDelivered] : search_.takeFound()) {
+    std::vector<FoundFlow> found;
+    for (const auto &[held, owner] : search_.takeFound()) {
         director_.onRedirects(now, owner, {{held.packet.flow, Tunnel::Epoch(1)}});
-        if (!isDelivered)
-            sent.push_back({held.packet.flow,
-                            {{service_, {}, headerTo(owner, held.header)}, owner.tunnel},
-                            false});
+        Tunnel::PacketHeader onward = held.header;
+        onward.chain = {};
+        onward.chain.append(owner);
+        onward.position = 0;
+        ++onward.passes;
+        ++onward.redirects;
+        found.push_back({held.packet.flow, {{service_, {}, onward}, owner.tunnel}});
     }
-    for (const auto &[held, peer] : search_.takeProbes()) {
-        Tunnel::PacketHeader probe = headerTo(peer, held.header);
-        probe.searcher = selfHop_.tunnel;
-        sent.push_back({held.packet.flow, {{service_, {}, probe}, peer.tunnel}, true});
+    for (const FlowSearch::HeldPacket &held : search_.takeUnsure()) {
+        if (const auto onward = Flows::continueSearch(*table_, held.header, held.packet.flow))
+            found.push_back({held.packet.flow, {{service_, {}, *onward}, onward->chain[0].tunnel}});
     }
-    if (!roster_.isComplete())
-        return sent;
+    if (!isViewSettled(now))
+        return found;
     for (const FlowSearch::HeldPacket &held : search_.takeDenied()) {
         if (!held.packet.rst)
             resets_.push_back({held.packet.flow, held.packet.acknowledgement, ResetCause::NoOwner});
     }
-    return sent;
+    return found;
 }
 
-AgentVerdict AgentCore::onProbe(TimePoint now, Model::ServiceId service,
-                                const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet)
+/// Whether no instance that may own a flow of the service is missing from the view.
+bool AgentCore::isViewSettled(TimePoint now) const
 {
-    if (service != service_)
-        return Flows::DropCause::OtherService;
-    if (header.chain[header.position].instance != selfHop_.instance)
-        return Flows::DropCause::OtherInstance;
-    const auto probe = probes_.try_emplace(packet.flow, Probe{header.searcher, now}).first;
-    probe->second.searcher = header.searcher;
-    return deliver(now, header, packet);
+    return viewChanged_ && now - *viewChanged_ >= SettlingTime;
 }
 
-void AgentCore::answerProbe(const Model::FlowKey &flow, Model::Endpoint searcher, bool isOwned)
+/// Whether all instances that may own a flow of the service were known and able to say so.
+bool AgentCore::isViewWhole(TimePoint now) const
 {
-    Tunnel::FlowAnswer answer{selfHop_, 0, {}, {}, director_.mayHoldUnknownFlows()};
-    (isOwned ? answer.owned : answer.denied).push_back({flow, Tunnel::Epoch(1)});
-    answers_.push_back({searcher, {service_, {}, std::move(answer)}});
-    probes_.erase(flow);
+    if (!isViewSettled(now))
+        return false;
+    const auto &instances = table_->instances();
+    return std::none_of(instances.begin(), instances.end(), [](const Model::Instance &instance) {
+        return instance.state == Model::InstanceState::Suspect;
+    });
 }
 
 void AgentCore::noteEnded(TimePoint now, FlowTrack &track)
@@ -219,8 +200,7 @@
             claims_[header.origin].push_back({packet.flow, Tunnel::Epoch(0)});
         if (!unansweredSyn_)
             unansweredSyn_ = now;
-    } else if (packet.payloadBytes > 0 && director_.owns(packet.flow)) {
-        // Others may be returned, and are no load then.
+    } else if (packet.payloadBytes > 0) {
         meter_.onRequestBytes(now, packet.flow);
     }
     if (director_.owns(packet.flow)) {
@@ -258,10 +238,6 @@
 {
     lastBackendSign_ = now;
     unansweredSyn_.reset();
-    if (const auto probe = probes_.find(packet.flow); probe != probes_.end() && !packet.rst) {
-        director_.onHeldByBackend(now, packet.flow);
-        answerProbe(packet.flow, probe->second.searcher, true);
-    }
     if (packet.syn) {
         director_.onSynAnswered(packet.flow, packet.sequence);
         return SendToCaller{packet.flow.caller};
@@ -294,10 +270,6 @@
     unansweredSyn_.reset();
     forgetFlow(packet.flow);
     const auto known = marks_.find(mark);
-    if (known && known->searcher.isValid()) {
-        answerProbe(packet.flow, known->searcher, false);
-        return Flows::DropCause::NoOwner;
-    }
     Tunnel::PacketHeader header;
     if (known) {
         header = *known;
@@ -406,7 +378,7 @@
             director_.onRedirects(now, redirects->owner, redirects->flows);
     } else if (const auto *query = std::get_if<Tunnel::FlowQuery>(&datagram.content)) {
         if (datagram.service == service_)
-            onFlowQuery(now, *query);
+            onFlowQuery(*query);
     } else if (const auto *answer = std::get_if<Tunnel::FlowAnswer>(&datagram.content)) {
         if (datagram.service == service_)
             search_.onAnswer(*answer);
@@ -415,14 +387,22 @@
 
 void AgentCore::onRosterPart(TimePoint now, const Tunnel::RosterPart &part)
 {
-    if (roster_.onPart(now, part))
+    const bool hasNews = roster_.hasNews(part);
+    const std::size_t knownBefore = table_->instances().size();
+    const bool changed = roster_.onPart(now, part);
+    if (changed)
         rebuild();
+    // A suspect member blocks every denial by itself, and so does one that becomes known as such.
+    const bool mayHaveMissed = hasNews || table_->instances().size() < knownBefore;
+    if (!viewChanged_ || mayHaveMissed)
+        viewChanged_ = now;
+    if (part.isLast && roster_.isCompleteBy(part))
+        viewChanged_ = now - SettlingTime;
 }
 
-void AgentCore::onFlowQuery(TimePoint now, const Tunnel::FlowQuery &query)
+void AgentCore::onFlowQuery(const Tunnel::FlowQuery &query)
 {
-    const bool mayHold = director_.mayHoldUnknownFlows() && !isBackendGone(now);
-    Tunnel::FlowAnswer answer{selfHop_, query.number, {}, {}, mayHold};
+    Tunnel::FlowAnswer answer{selfHop_, query.number, {}, director_.mayHoldUnknownFlows()};
     for (const Model::FlowKey &flow : query.flows) {
         if (director_.mayOwn(flow))
             answer.owned.push_back({flow, Tunnel::Epoch(1)});
@@ -513,23 +493,8 @@
     claims_.clear();
 }
 
-/// Denies the flows whose probes a backend server that is gone will never return.
-void AgentCore::denySilentProbes(TimePoint now)
-{
-    std::vector<std::pair<Model::FlowKey, Model::Endpoint>> silent;
-    for (const auto &[flow, probe] : probes_) {
-        if (now - probe.since >= ProbeSilence && lastBackendSign_ < probe.since)
-            silent.emplace_back(flow, probe.searcher);
-    }
-    for (const auto &[flow, searcher] : silent)
-        answerProbe(flow, searcher, false);
-    std::erase_if(probes_,
-                  [now](const auto &probe) { return now - probe.second.since >= SearchTime; });
-}
-
 std::vector<Outgoing> AgentCore::tick(TimePoint now)
 {
-    denySilentProbes(now);
     if (now - lastSweep_ >= SweepInterval) {
         lastSweep_ = now;
         director_.expire(now);
@@ -578,7 +543,7 @@
     for (const Model::Instance &balancer : roster_.balancers()) {
         Tunnel::Report last = report(now);
         last.sender.instance.state = Model::InstanceState::Suspect;
-        last.leaves = isBackendGone(now);
+        last.leaves = hasLeft_;
         outgoing.push_back({balancer.tunnel, {service_, {}, std::move(last)}});
     }
     return outgoing;
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -75,7 +75,6 @@
 {
     Model::FlowKey flow;
     SendOn onward;
-    bool isProbe = false; ///< the packet stays held
 };
 
 /// A held SYN that is delivered now.
@@ -156,7 +155,7 @@
     std::vector<FoundFlow> takeFound(TimePoint now);
 
     /// Returns the flows whose packets were held for a search in vain, and are dropped now.
-    std::vector<FlowSearch::Unfound> takeUnfound(TimePoint now) { return search_.expire(now); }
+    std::vector<Model::FlowKey> takeUnfound(TimePoint now) { return search_.expire(now); }
 
     /// Returns the times that answers took since the last call; empties the list.
     std::vector<std::chrono::microseconds> takeAnswerTimes();
@@ -193,23 +192,14 @@
         TimePoint ended; ///< when both had
     };
 
-    /// A packet that another agent sent here to learn whether the backend server holds its flow.
-    struct Probe
-    {
-        Model::Endpoint searcher;
-        TimePoint since;
-    };
-
     AgentVerdict act(TimePoint now, const Flows::Decision &decision,
                      const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
     AgentVerdict searchOn(TimePoint now, const Tunnel::PacketHeader &header,
                           const Tunnel::TcpPacket &packet);
-    AgentVerdict onProbe(TimePoint now, Model::ServiceId service,
-                         const Tunnel::PacketHeader &header, const Tunnel::TcpPacket &packet);
-    void denySilentProbes(TimePoint now);
-    void answerProbe(const Model::FlowKey &flow, Model::Endpoint searcher, bool isOwned);
+    bool isViewSettled(TimePoint now) const;
+    bool isViewWhole(TimePoint now) const;
     void onRosterPart(TimePoint now, const Tunnel::RosterPart &part);
-    void onFlowQuery(TimePoint now, const Tunnel::FlowQuery &query);
+    void onFlowQuery(const Tunnel::FlowQuery &query);
     void takeClaims(std::vector<Outgoing> &outgoing);
     void noteEnded(TimePoint now, FlowTrack &track);
     AgentVerdict deliver(TimePoint now, const Tunnel::PacketHeader &header,
@@ -222,7 +212,6 @@
     void noteAnswer(TimePoint now, bool failed);
     void rebuild();
     bool isAccepting(TimePoint now) const;
-    bool isBackendGone(TimePoint now) const;
     Tunnel::Report report(TimePoint now);
 
     Options options_;
@@ -237,12 +226,12 @@
     WaitingRoom waitingRoom_;
     FlowSearch search_;
     std::vector<Outgoing> answers_;
-    std::unordered_map<Model::FlowKey, Probe> probes_; ///< delivered, neither taken nor returned
     std::unordered_map<Model::FlowKey, FlowTrack> tracks_;
     std::unique_ptr<Routing::ServiceTable> table_;
     std::optional<BackendBeat> backend_;
     bool hasLeft_ = false;
     TimePoint started_;
+    std::optional<TimePoint> viewChanged_;   ///< the latest change of the roster by a balancer
     TimePoint lastBeat_;                     ///< the latest beat that was taken
     TimePoint lastBackendSign_;              ///< the latest packet or beat of the backend server
     std::optional<TimePoint> unansweredSyn_; ///< the first SYN delivered after lastBackendSign_
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -233,12 +233,11 @@
             std::vector<std::byte> &header = headers_[0];
             Tunnel::encodeDatagram(found.onward.datagram, header);
             Tunnel::sendDatagram(tunnel_.descriptor(), header, held->second, found.onward.receiver);
-            if (!found.isProbe)
-                searched_.erase(held);
+            searched_.erase(held);
         }
-        for (const FlowSearch::Unfound &unfound : core_.takeUnfound(now)) {
-            logUnfound(unfound);
-            searched_.erase(unfound.flow);
+        for (const Model::FlowKey &flow : core_.takeUnfound(now)) {
+            logUnfound(flow);
+            searched_.erase(flow);
         }
     }
 
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -7,10 +7,6 @@
 /// How long a flow without a packet is cached where the configuration sets no limit.
 static constexpr std::chrono::seconds DefaultIdleTimeout{60};
 
-/// Time after its start in which a balancer without a directory has heard every member that
-/// reaches it: one interval until the others tell of it, and two for reports that are lost.
-static constexpr std::chrono::milliseconds HearingTime{4 * Membership::ReportInterval};
-
 /// How often the cache is searched for idle flows.
 static constexpr std::chrono::seconds SweepInterval{1};
 
@@ -52,41 +48,36 @@
     , table_(std::make_shared<Routing::RoutingTable>())
 {}
 
-void BalancerCore::setConfiguration(TimePoint now, const Model::Configuration &configuration)
+void BalancerCore::setConfiguration(const Model::Configuration &configuration)
 {
     for (const Model::Route &route : configuration_.routes)
         formerRoutes_.insert(route.address);
     configuration_ = configuration;
     for (const Model::Route &route : configuration_.routes)
         formerRoutes_.erase(route.address);
-    rebuild(now);
+    rebuild();
     pacer_.onUrgentChange();
 }
 
-void BalancerCore::rebuild(TimePoint now)
+void BalancerCore::rebuild()
 {
     auto agents = roster_.agents();
     // A restart of an agent leaves the flows of its backend server where they are.
     for (Model::Instance &agent : agents)
         agent.incarnation = {};
-    board_.setAgents(now, agents, isComplete(now));
+    board_.keepOnly(agents);
     table_ = Routing::RoutingTable::build(configuration_, agents, *table_, ++tableVersion_);
 }
 
-bool BalancerCore::isComplete(TimePoint now) const
-{
-    return hasDirectory_ || (firstTick_ && now - *firstTick_ >= HearingTime);
-}
-
 void BalancerCore::setFormerMembers(TimePoint now, const std::vector<Tunnel::Member> &members)
 {
+    directoryRead_ = now;
     std::vector<Model::Endpoint> contacts;
     for (const Tunnel::Member &member : members)
         contacts.push_back(member.instance.tunnel);
     pacer_.setContacts(std::move(contacts));
     roster_.expect(now, members);
-    rebuild(now);
-    hasDirectory_ = true;
+    rebuild();
 }
 
 std::optional<BalancerCore::NewerConfiguration> BalancerCore::newerConfiguration() const
@@ -192,17 +183,19 @@
         if (report->sender.role == Tunnel::Role::Agent)
             board_.onReport(*report);
         if (roster_.onReport(now, *report)) {
-            rebuild(now);
+            rebuild();
             pacer_.onUrgentChange();
         }
         if (report->wantsRoster && report->rosterDigest != roster_.digestFor(report->sender)) {
-            for (Tunnel::RosterPart &part : roster_.partsFor(now, report->sender, isComplete(now)))
+            // Later the directory may lack members that started since it was read.
+            const bool isComplete = directoryRead_ && now - *directoryRead_ < StartTime;
+            for (Tunnel::RosterPart &part : roster_.partsFor(now, report->sender, isComplete))
                 answers.push_back({report->sender.instance.tunnel,
                                    {{}, configuration_.generation, std::move(part)}});
         }
     } else if (const auto *part = std::get_if<Tunnel::RosterPart>(&datagram.content)) {
         if (roster_.onPart(now, *part))
-            rebuild(now);
+            rebuild();
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         for (const Tunnel::ClaimedFlow &flow : redirects->flows)
             cache_.onOwned(now, flow.key, datagram.service, redirects->owner);
@@ -224,10 +217,8 @@
     if (lastTick_ != TimePoint() && now - lastTick_ > OwnPause)
         roster_.onPaused(std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTick_));
     lastTick_ = now;
-    if (!firstTick_)
-        firstTick_ = now;
     if (roster_.expire(now))
-        rebuild(now);
+        rebuild();
     if (now - lastSweep_ >= SweepInterval) {
         lastSweep_ = now;
         const auto idle = configuration_.idleFlowTimeout.count() > 0
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -82,7 +82,7 @@
     std::vector<Outgoing> farewell(TimePoint now, bool forGood);
 
     /// Uses \a configuration from now on.
-    void setConfiguration(TimePoint now, const Model::Configuration &configuration);
+    void setConfiguration(const Model::Configuration &configuration);
 
     /// Sets where balancers run that may not be known yet.
     void setSeeds(std::vector<Model::Endpoint> seeds) { pacer_.setSeeds(std::move(seeds)); }
@@ -112,8 +112,7 @@
     BalancerVerdict onSyn(TimePoint now, const Tunnel::TcpPacket &packet);
     BalancerVerdict onFlowPacket(TimePoint now, const Tunnel::TcpPacket &packet);
     BalancerVerdict send(Model::ServiceId service, const Routing::Chain &chain, bool opensFlow);
-    void rebuild(TimePoint now);
-    bool isComplete(TimePoint now) const;
+    void rebuild();
     Tunnel::Report report() const;
 
     Tunnel::Member self_;
@@ -129,8 +128,7 @@
     std::uint64_t reportNumber_ = 0;
     TimePoint lastTick_;
     TimePoint lastSweep_;
-    std::optional<TimePoint> firstTick_;
-    bool hasDirectory_ = false; ///< the roster names all members of before the start
+    std::optional<TimePoint> directoryRead_;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -151,17 +151,13 @@
 
 void logFound(const FoundFlow &found)
 {
-    logDecisionLine(Level::Info, found.isProbe ? "owner-probed" : "owner-found",
+    logDecisionLine(Level::Info, "owner-found",
                     {{"flow", Model::flowText(found.flow)}, {"agent", hopText(found.onward)}});
 }
 
-void logUnfound(const FlowSearch::Unfound &unfound)
+void logUnfound(const Model::FlowKey &flow)
 {
-    logDecisionLine(Level::Warning, "owner-not-found",
-                    {{"flow", Model::flowText(unfound.flow)},
-                     {"denied", unfound.denied},
-                     {"peers", unfound.peers},
-                     {"missing", Model::endpointText(unfound.missing)}});
+    logDecisionLine(Level::Warning, "owner-not-found", {{"flow", Model::flowText(flow)}});
 }
 
 void logReset(const ResetFlow &reset)
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -38,10 +38,9 @@
 /// Writes a line for a flow that the backend server reset.
 void logBackendReset(const Tunnel::TcpPacket &packet);
 
-/// Writes a line for a packet that was held for a search and is sent on, or was held in vain with
-/// what the peers said of its flow.
+/// Writes a line for a packet that was held for a search and is sent on, or was held in vain.
 void logFound(const FoundFlow &found);
-void logUnfound(const FlowSearch::Unfound &unfound);
+void logUnfound(const Model::FlowKey &flow);
 
 /// Writes a line for a reset that was sent.
 void logReset(const ResetFlow &reset);
--- a/src/libs/forwarding/flowsearch.cpp
+++ b/src/libs/forwarding/flowsearch.cpp
@@ -11,14 +11,18 @@
 
 void FlowSearch::setPeers(const Routing::ServiceTable &table)
 {
-    peers_.clear();
+    std::map<Model::InstanceId, Peer> peers;
     for (const Model::Instance &instance : table.instances()) {
         const Model::InstanceId id = Model::instanceId(instance.name);
-        if (id != self_)
-            peers_[id] = {id, instance.incarnation, instance.tunnel};
+        if (id == self_)
+            continue;
+        Peer &peer = peers[id];
+        if (const auto known = peers_.find(id); known != peers_.end())
+            peer = known->second;
+        peer.hop = {id, instance.incarnation, instance.tunnel};
+        peer.isSuspect = instance.state == Model::InstanceState::Suspect;
     }
-    for (auto &[flow, search] : searches_)
-        std::erase_if(search.probed, [this](const auto &id) { return !peers_.contains(id); });
+    peers_ = std::move(peers);
 }
 
 bool FlowSearch::hold(TimePoint now, const Tunnel::PacketHeader &header,
@@ -33,32 +37,10 @@
     return true;
 }
 
-void FlowSearch::onProbeAnswer(const Tunnel::FlowAnswer &answer)
-{
-    const Model::InstanceId peer = answer.answerer.instance;
-    for (const Tunnel::ClaimedFlow &flow : answer.denied) {
-        if (const auto search = searches_.find(flow.key); search != searches_.end()) {
-            search->second.probed.erase(peer);
-            search->second.denied.insert(peer);
-        }
-    }
-    for (const Tunnel::ClaimedFlow &flow : answer.owned) {
-        if (const auto search = searches_.find(flow.key); search != searches_.end()) {
-            search->second.owner = answer.answerer;
-            search->second.isDelivered = true;
-        }
-    }
-}
-
 void FlowSearch::onAnswer(const Tunnel::FlowAnswer &answer)
 {
-    const Model::InstanceId peer = answer.answerer.instance;
-    if (!peers_.contains(peer))
-        return;
-    if (answer.number == 0)
-        return onProbeAnswer(answer);
     const auto query = queries_.find(answer.number);
-    if (query == queries_.end())
+    if (query == queries_.end() || !peers_.contains(answer.answerer.instance))
         return;
     for (const Model::FlowKey &flow : query->second.flows) {
         const auto search = searches_.find(flow);
@@ -68,16 +50,12 @@
             std::any_of(answer.owned.begin(), answer.owned.end(),
                         [&flow](const Tunnel::ClaimedFlow &owned) { return owned.key == flow; });
         if (isOwner)
-            search->second.owner = answer.answerer;
-        else if (!answer.mayHoldUnknownFlows)
-            search->second.denied.insert(peer);
-        else if (!search->second.denied.contains(peer)) {
-            // A probe that was not answered since the query before counts as lost.
-            search->second.probed.erase(peer);
-            search->second.unsure.insert(peer);
-        }
+            search->second.owners.push_back(answer.answerer);
+        else if (answer.mayHoldUnknownFlows)
+            search->second.unsure.insert(answer.answerer.instance);
+        else
+            search->second.denied.insert(answer.answerer.instance);
     }
-    queries_.erase(query);
 }
 
 std::vector<Outgoing> FlowSearch::queries(TimePoint now, Model::ServiceId service)
@@ -102,7 +80,7 @@
             Tunnel::FlowQuery query{
                 selfHop_, ++queryNumber_, {begin, begin + std::ptrdiff_t(count)}};
             queries_[query.number] = {now, query.flows};
-            outgoing.push_back({peer.tunnel, {service, {}, std::move(query)}});
+            outgoing.push_back({peer.hop.tunnel, {service, {}, std::move(query)}});
         }
     }
     for (auto &[flow, search] : searches_)
@@ -110,65 +88,64 @@
     return outgoing;
 }
 
-std::vector<FlowSearch::Found> FlowSearch::takeFound()
+template<typename F>
+std::vector<FlowSearch::HeldPacket> FlowSearch::take(F isOver)
 {
-    std::vector<Found> found;
-    std::erase_if(searches_, [&found](const auto &entry) {
-        const Search &search = entry.second;
-        if (search.owner)
-            found.push_back({search.held, *search.owner, search.isDelivered});
-        return search.owner.has_value();
-    });
-    return found;
+    std::vector<HeldPacket> taken;
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        if (!isOver(entry->second)) {
+            ++entry;
+            continue;
+        }
+        taken.push_back(entry->second.held);
+        entry = searches_.erase(entry);
+    }
+    return taken;
 }
 
-std::vector<std::pair<FlowSearch::HeldPacket, Routing::Hop>> FlowSearch::takeProbes()
+std::vector<std::pair<FlowSearch::HeldPacket, Routing::Hop>> FlowSearch::takeFound()
 {
-    std::vector<std::pair<HeldPacket, Routing::Hop>> probes;
-    for (auto &[flow, search] : searches_) {
-        while (!search.unsure.empty() && search.probed.size() < MaxProbesUnderWay) {
-            const Model::InstanceId id = *search.unsure.begin();
-            search.unsure.erase(search.unsure.begin());
-            const auto peer = peers_.find(id);
-            if (peer == peers_.end())
-                continue;
-            search.probed.insert(id);
-            probes.emplace_back(search.held, peer->second);
+    std::vector<std::pair<HeldPacket, Routing::Hop>> found;
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        if (entry->second.owners.empty()) {
+            ++entry;
+            continue;
         }
+        found.emplace_back(entry->second.held, entry->second.owners.front());
+        entry = searches_.erase(entry);
     }
-    return probes;
+    return found;
+}
+
+std::vector<FlowSearch::HeldPacket> FlowSearch::takeUnsure()
+{
+    return take([this](const Search &search) {
+        if (search.unsure.empty())
+            return false;
+        return std::all_of(peers_.begin(), peers_.end(), [&search](const auto &peer) {
+            return peer.second.isSuspect || search.denied.contains(peer.first)
+                   || search.unsure.contains(peer.first);
+        });
+    });
 }
 
 std::vector<FlowSearch::HeldPacket> FlowSearch::takeDenied()
 {
-    std::vector<HeldPacket> denied;
-    std::erase_if(searches_, [&](const auto &entry) {
-        const Search &search = entry.second;
-        const bool isDenied =
-            std::all_of(peers_.begin(), peers_.end(), [&search](const auto &peer) {
-                return search.denied.contains(peer.first);
-            });
-        if (isDenied)
-            denied.push_back(search.held);
-        return isDenied;
+    return take([this](const Search &search) {
+        return std::all_of(peers_.begin(), peers_.end(), [&search](const auto &peer) {
+            return search.denied.contains(peer.first);
+        });
     });
-    return denied;
 }
 
-std::vector<FlowSearch::Unfound> FlowSearch::expire(TimePoint now)
+std::vector<Model::FlowKey> FlowSearch::expire(TimePoint now)
 {
-    std::vector<Unfound> expired;
+    std::vector<Model::FlowKey> expired;
     std::erase_if(searches_, [&](const auto &entry) {
-        const auto &[flow, search] = entry;
-        if (now - search.since < SearchTime)
-            return false;
-        const auto missing = std::find_if(peers_.begin(), peers_.end(), [&](const auto &peer) {
-            return !search.denied.contains(peer.first);
-        });
-        expired.push_back({flow, search.denied.size(), peers_.size(),
-                           missing == peers_.end() ? Model::Endpoint()
-                                                   : missing->second.tunnel});
-        return true;
+        const bool isOver = now - entry.second.since >= SearchTime;
+        if (isOver)
+            expired.push_back(entry.first);
+        return isOver;
     });
     return expired;
 }
--- a/src/libs/forwarding/flowsearch.h
+++ b/src/libs/forwarding/flowsearch.h
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -25,19 +24,12 @@
 /// objective.
 constexpr std::chrono::milliseconds QueryInterval{100};
 
-/// Probes of one flow that may be under way at once: few, since most are wasted where one agent
-/// holds the flow, and more than one, since some agents are slow.
-constexpr std::size_t MaxProbesUnderWay = 4;
-
 /// How long a packet is held while its flow is searched for: a second beyond the longest pause
 /// between two copies of it, 1.6 s, so that a caller who still waits has renewed it.
 constexpr std::chrono::milliseconds SearchTime{2600};
 
 /// Finds the owners of flows by asking all agents of the service at once.
 ///
-/// Agents that can't know all flows of their backend servers, since they started after them, are
-/// probed: they get the packet itself, which such a server takes or returns.
-///
 /// Answers the return of a whole system: every caller's next packet is of a flow that nobody holds,
 /// and passing each packet through all agents would take the time that new flows need. A flow is
 /// denied only when every agent that the view names has said so itself, so that agents that are
@@ -70,40 +62,28 @@
     /// Returns the queries that are due now for \a service.
     std::vector<Outgoing> queries(TimePoint now, Model::ServiceId service);
 
-    /// A packet whose flow has an owner.
-    struct Found
-    {
-        HeldPacket held;
-        Routing::Hop owner;
-        bool isDelivered = false; ///< a probe brought the packet there
-    };
-
     /// Returns packets of flows that a peer owns; they are held no more.
-    std::vector<Found> takeFound();
+    std::vector<std::pair<HeldPacket, Routing::Hop>> takeFound();
 
-    /// Returns packets that are to be sent to a peer as probes; they stay held.
-    std::vector<std::pair<HeldPacket, Routing::Hop>> takeProbes();
+    /// Returns packets that all peers which run denied, but some of them can't know their flows
+    /// before their backend servers see the packet; they are held no more.
+    std::vector<HeldPacket> takeUnsure();
 
     /// Returns packets of flows that every peer denied; they are held no more. Not called while
     /// the view may miss an agent.
     std::vector<HeldPacket> takeDenied();
 
-    /// A flow that was searched for in vain, and what peers said of it.
-    struct Unfound
-    {
-        Model::FlowKey flow;
-        std::size_t denied = 0;
-        std::size_t peers = 0;
-        Model::Endpoint missing; ///< a peer that did not deny it, if one didn't
-    };
-
     /// Returns the flows whose packets were held in vain; they are forgotten.
-    std::vector<Unfound> expire(TimePoint now);
+    std::vector<Model::FlowKey> expire(TimePoint now);
 
     std::size_t size() const { return searches_.size(); }
 
 private:
-    void onProbeAnswer(const Tunnel::FlowAnswer &answer);
+    struct Peer
+    {
+        Routing::Hop hop;
+        bool isSuspect = false;
+    };
 
     struct Search
     {
@@ -111,10 +91,8 @@
         TimePoint since; ///< the latest copy of the packet
         bool wasAsked = false;
         std::set<Model::InstanceId> denied;
-        std::set<Model::InstanceId> unsure; ///< don't own it as far as they know, to be probed
-        std::set<Model::InstanceId> probed; ///< did not answer their probes yet
-        std::optional<Routing::Hop> owner;
-        bool isDelivered = false;
+        std::set<Model::InstanceId> unsure; ///< denied by what they know, which may not be all
+        std::vector<Routing::Hop> owners;
     };
 
     struct Query
@@ -123,7 +101,11 @@
         std::vector<Model::FlowKey> flows;
     };
 
-    std::map<Model::InstanceId, Routing::Hop> peers_;
+    /// Moves the packets of the searches that \a isOver to the result.
+    template<typename F>
+    std::vector<HeldPacket> take(F isOver);
+
+    std::map<Model::InstanceId, Peer> peers_;
     Model::InstanceId self_;
     Routing::Hop selfHop_;
     std::unordered_map<Model::FlowKey, Search> searches_;
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -102,19 +102,7 @@
         listed.insert(member.instance.name);
         changed |= addRelayed(now, member);
     }
-    if (isAuthority() || part.memberCount == 0)
-        return changed;
-    noteListed(part);
-    return removeOmitted(part, listed) || changed;
-}
-
-void Roster::noteListed(const Tunnel::RosterPart &part)
-{
-    std::size_t &listed = listed_[part.keeper];
-    if (part.afterName.empty())
-        listed = 0;
-    listed += part.members.size();
-    isComplete_ |= part.isLast && listed == part.memberCount;
+    return isAuthority() ? changed : removeOmitted(part, listed) || changed;
 }
 
 bool Roster::removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed)
@@ -277,9 +265,22 @@
         parts.back().members.push_back(std::move(member));
     }
     parts.back().isLast = true;
-    for (Tunnel::RosterPart &part : parts)
-        part.memberCount = memberCount;
+    parts.back().memberCount = memberCount;
     return parts;
 }
 
+bool Roster::isCompleteBy(const Tunnel::RosterPart &part) const
+{
+    return part.memberCount > 0 && entries_.size() >= part.memberCount;
+}
+
+bool Roster::hasNews(const Tunnel::RosterPart &part) const
+{
+    return std::any_of(part.members.begin(), part.members.end(), [this](const auto &member) {
+        return member.instance.state != Model::InstanceState::Suspect
+               && member.instance.name != self_.instance.name
+               && !entries_.contains(member.instance.name);
+    });
+}
+
 } // namespace Membership
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -26,8 +26,8 @@
 /// a restart takes.
 constexpr std::chrono::seconds ForgetSilence{8};
 
-/// Balancers that must leave a member out of their complete view before an agent does so too: one
-/// alone may be cut off from it, and one that just started has not heard all.
+/// Balancers that must leave a member out of their view before an agent does so too: one alone may
+/// be cut off from it.
 constexpr std::size_t OmissionsUntilGone = 2;
 
 /// How long what others still say of a member that left is ignored: longer than ForgetSilence, so
@@ -90,9 +90,11 @@
     std::vector<Tunnel::RosterPart> partsFor(TimePoint now, const Tunnel::Member &reader,
                                              bool isComplete) const;
 
-    /// Whether a balancer that misses no member named all that it knows, on an agent.
-    bool isComplete() const { return isComplete_; }
+    /// Whether this roster names as many members as the complete one that \a part is of.
+    bool isCompleteBy(const Tunnel::RosterPart &part) const;
 
+    /// Whether \a part names a member that is neither suspect nor known here.
+    bool hasNews(const Tunnel::RosterPart &part) const;
 
 private:
     struct Entry
@@ -112,7 +114,6 @@
 
     std::vector<Tunnel::Member> viewOf(const Tunnel::Member &reader) const;
     bool addRelayed(TimePoint now, const Tunnel::Member &member);
-    void noteListed(const Tunnel::RosterPart &part);
     bool removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed);
     bool isAuthority() const { return self_.role == Tunnel::Role::Balancer; }
     bool remove(TimePoint now, const std::string &name, Model::Incarnation incarnation);
@@ -120,8 +121,6 @@
     Tunnel::Member self_;
     std::map<std::string, Entry> entries_;
     std::map<std::string, Left> left_;
-    std::map<std::string, std::size_t> listed_; ///< members in the parts of each balancer's roster
-    bool isComplete_ = false;
 };
 
 } // namespace Membership
--- a/src/libs/placement/loadboard.cpp
+++ b/src/libs/placement/loadboard.cpp
@@ -32,18 +32,12 @@
     load.placedSince += 1;
 }
 
-void LoadBoard::setAgents(TimePoint now, const std::vector<Model::Instance> &agents,
-                          bool areNewOnesJoining)
+void LoadBoard::keepOnly(const std::vector<Model::Instance> &agents)
 {
     std::set<Model::InstanceId> kept;
-    for (const Model::Instance &agent : agents) {
-        const Model::InstanceId id = Model::instanceId(agent.name);
-        kept.insert(id);
-        if (!known_.contains(id) && areNewOnesJoining)
-            loads_[id].joined = now;
-    }
+    for (const Model::Instance &agent : agents)
+        kept.insert(Model::instanceId(agent.name));
     std::erase_if(loads_, [&kept](const auto &entry) { return !kept.contains(entry.first); });
-    known_ = std::move(kept);
 }
 
 /// Expected time to the answer in microseconds, as if every request ran as long as the usual one.
@@ -78,9 +72,6 @@
             continue;
         const Model::InstanceId id = Model::instanceId(instance.name);
         const auto load = loads_.find(id);
-        const bool isJoining = load != loads_.end() && now - load->second.joined < JoiningTime;
-        if (isJoining)
-            continue;
         const bool isSilent = load != loads_.end() && load->second.placedSince > 0
                               && now - load->second.placedFirst > PlacementSilence;
         const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
--- a/src/libs/placement/loadboard.h
+++ b/src/libs/placement/loadboard.h
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -27,10 +26,6 @@
 /// follow a change within ReportSpacing; the rest covers a processor shared by others.
 constexpr std::chrono::milliseconds PlacementSilence{150};
 
-/// How long an agent that joins gets no new flow: the time in which all other agents hear of it, so
-/// that none denies its flows. Two report intervals of Membership.
-constexpr std::chrono::milliseconds JoiningTime{600};
-
 /// What a failed answer costs a caller: another attempt with all its waits, twice the loosest
 /// latency objective of requests that people wait for, 250 ms. Orders that failed are lost.
 constexpr std::chrono::milliseconds FailureCost{500};
@@ -61,10 +56,8 @@
     /// Notes that a new flow was offered to \a instance.
     void onPlaced(TimePoint now, Model::InstanceId instance);
 
-    /// Takes over which \a agents there are. New ones join where \a areNewOnesJoining; else they
-    /// were there before this balancer, and all know them.
-    void setAgents(TimePoint now, const std::vector<Model::Instance> &agents,
-                   bool areNewOnesJoining);
+    /// Forgets agents that \a table no longer names.
+    void keepOnly(const std::vector<Model::Instance> &agents);
 
     /// Returns the agents for a new flow, best first; those in \a tried come last.
     Routing::Chain order(TimePoint now, const Routing::ServiceTable &table,
@@ -79,14 +72,12 @@
         std::chrono::microseconds answerTime{0};
         double failureShare = 0;
         TimePoint placedFirst; ///< the first placement after the last report
-        TimePoint joined;      ///< nothing for those that were there before
     };
 
     double costOf(const Model::Instance &instance, Model::InstanceId id) const;
 
     std::string failureDomain_;
     std::unordered_map<Model::InstanceId, Load> loads_;
-    std::set<Model::InstanceId> known_;
 };
 
 } // namespace Placement
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -54,8 +54,7 @@
       passes @4 :UInt8;      # how often agents passed the packet on
       opensFlow @5 :Bool;
       redirects @16 :UInt8;  # how often it followed a redirect
-      searcherPort @17 :UInt16;
-      searcherAddress @42 :UInt32; # of the agent that probes who owns the flow; 0: no probe
+      ranksBefore @17 :UInt8; # instances that rank before the chain and were asked already
       originAddress @18 :UInt32; # the balancer that took the packet from the fabric
       originPort @19 :UInt16;
     }
@@ -105,7 +104,6 @@
       answerer @37 :Hop;
       answeredNumber @38 :UInt64; # of the query
       held @39 :List(FlowEntry);  # those of the query that the answerer owns
-      denied @43 :List(FlowEntry); # those that its backend server returned
       mayHoldOthers @40 :Bool;    # its backend server may hold flows that it doesn't know
     }
   }
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -766,14 +766,12 @@
 
   inline  ::uint8_t getRedirects() const;
 
-  inline  ::uint16_t getSearcherPort() const;
+  inline  ::uint8_t getRanksBefore() const;
 
   inline  ::uint32_t getOriginAddress() const;
 
   inline  ::uint16_t getOriginPort() const;
 
-  inline  ::uint32_t getSearcherAddress() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -821,8 +819,8 @@
   inline  ::uint8_t getRedirects();
   inline void setRedirects( ::uint8_t value);
 
-  inline  ::uint16_t getSearcherPort();
-  inline void setSearcherPort( ::uint16_t value);
+  inline  ::uint8_t getRanksBefore();
+  inline void setRanksBefore( ::uint8_t value);
 
   inline  ::uint32_t getOriginAddress();
   inline void setOriginAddress( ::uint32_t value);
@@ -830,9 +828,6 @@
   inline  ::uint16_t getOriginPort();
   inline void setOriginPort( ::uint16_t value);
 
-  inline  ::uint32_t getSearcherAddress();
-  inline void setSearcherAddress( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1590,9 +1585,6 @@
 
   inline bool getMayHoldOthers() const;
 
-  inline bool hasDenied() const;
-  inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Reader getDenied() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1641,13 +1633,6 @@
   inline bool getMayHoldOthers();
   inline void setMayHoldOthers(bool value);
 
-  inline bool hasDenied();
-  inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Builder getDenied();
-  inline void setDenied( ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Builder initDenied(unsigned int size);
-  inline void adoptDenied(::capnp::Orphan< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>> disownDenied();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2063,10 +2048,9 @@
   _builder.setDataField< ::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<19>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
-  _builder.setDataField< ::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::Packet::Builder(_builder);
 }
@@ -2268,7 +2252,6 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
-  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename Datagram::FlowAnswer::Builder(_builder);
 }
 inline bool Datagram::Packet::Reader::hasChain() const {
@@ -2361,18 +2344,18 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Datagram::Packet::Reader::getSearcherPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Datagram::Packet::Reader::getRanksBefore() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Datagram::Packet::Builder::getSearcherPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::uint8_t Datagram::Packet::Builder::getRanksBefore() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Packet::Builder::setSearcherPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Packet::Builder::setRanksBefore( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t Datagram::Packet::Reader::getOriginAddress() const {
@@ -2403,20 +2386,6 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Datagram::Packet::Reader::getSearcherAddress() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Datagram::Packet::Builder::getSearcherAddress() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void Datagram::Packet::Builder::setSearcherAddress( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Datagram::Redirects::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3185,40 +3154,6 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::FlowAnswer::Reader::hasDenied() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::FlowAnswer::Builder::hasDenied() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Reader Datagram::FlowAnswer::Reader::getDenied() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Datagram::FlowAnswer::Builder::getDenied() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Datagram::FlowAnswer::Builder::setDenied( ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Datagram::FlowAnswer::Builder::initDenied(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Datagram::FlowAnswer::Builder::adoptDenied(
-    ::capnp::Orphan< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>> Datagram::FlowAnswer::Builder::disownDenied() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Rpc::FlowEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 }  // namespace
 
 CAPNP_END_HEADER
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -68,10 +68,9 @@
     packet.setPasses(header.passes);
     packet.setRedirects(header.redirects);
     packet.setOpensFlow(header.opensFlow);
+    packet.setRanksBefore(header.ranksBefore);
     packet.setOriginAddress(header.origin.address);
     packet.setOriginPort(header.origin.port);
-    packet.setSearcherAddress(header.searcher.address);
-    packet.setSearcherPort(header.searcher.port);
 }
 
 static void write(Rpc::Datagram::Builder root, const Redirects &redirects)
@@ -98,7 +97,6 @@
     group.setAnsweredNumber(answer.number);
     group.setMayHoldOthers(answer.mayHoldUnknownFlows);
     writeFlows(group.initHeld(unsigned(answer.owned.size())), answer.owned);
-    writeFlows(group.initDenied(unsigned(answer.denied.size())), answer.denied);
 }
 
 static void write(Rpc::Datagram::Builder root, const Probe &probe)
@@ -221,8 +219,8 @@
     header.passes = packet.getPasses();
     header.redirects = packet.getRedirects();
     header.opensFlow = packet.getOpensFlow();
+    header.ranksBefore = packet.getRanksBefore();
     header.origin = {packet.getOriginAddress(), packet.getOriginPort()};
-    header.searcher = {packet.getSearcherAddress(), packet.getSearcherPort()};
     return header;
 }
 
@@ -242,7 +240,7 @@
 static FlowAnswer readFlowAnswer(Rpc::Datagram::FlowAnswer::Reader group)
 {
     return {readHop(group.getAnswerer()), group.getAnsweredNumber(), readFlows(group.getHeld()),
-            readFlows(group.getDenied()), group.getMayHoldOthers()};
+            group.getMayHoldOthers()};
 }
 
 static std::optional<Report> readReport(Rpc::Datagram::Report::Reader group)
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -20,8 +20,8 @@
     std::uint8_t passes = 0;    ///< how often agents passed the packet on
     std::uint8_t redirects = 0; ///< how often it followed a redirect
     bool opensFlow = false;
-    Model::Endpoint origin;   ///< the balancer that learns the flow's owner; may be invalid
-    Model::Endpoint searcher; ///< the agent that probes who owns the flow; invalid: no probe
+    std::uint8_t ranksBefore = 0; ///< instances ranked before the chain that were asked already
+    Model::Endpoint origin;       ///< the balancer that learns the flow's owner; may be invalid
 };
 
 /// Counts the owners that a flow has had: 0 while it is half open, 1 with its first owner, and
@@ -112,13 +112,12 @@
     std::vector<Model::FlowKey> flows;
 };
 
-/// Answers a FlowQuery, or says what became of a probe.
+/// Answers a FlowQuery.
 struct FlowAnswer
 {
     Routing::Hop answerer;
-    std::uint64_t number = 0;         ///< of the query; 0 for a probe
-    std::vector<ClaimedFlow> owned;   ///< those that the answerer owns
-    std::vector<ClaimedFlow> denied;  ///< probed flows that its backend server does not hold
+    std::uint64_t number = 0;         ///< of the query
+    std::vector<ClaimedFlow> owned;   ///< those of the query that the answerer owns
     bool mayHoldUnknownFlows = false; ///< it can't say that it does not own the others
 };
 
