--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -152,7 +152,8 @@
             const Tunnel::TcpPacket segment = backendSegment(*packet);
             if (segment.rst)
                 logBackendReset(segment);
-            const auto status = segment.payloadBytes > 0 ? Codec::answerStatus(bytes) : std::nullopt;
+            const auto status =
+                segment.payloadBytes > 0 ? Codec::answerStatus(bytes) : std::nullopt;
             act(segment, core_.onBackendPacket(now, segment, status), bytes);
             if (status && isServerError(*status))
                 logFailedAnswer(segment, *status, core_.status(now));
--- a/src/libs/forwarding/waitingroom.h
+++ b/src/libs/forwarding/waitingroom.h
@@ -23,8 +23,9 @@
 /// Answers swings and recoveries, in which more callers come than can be served at once: a caller
 /// would send its SYN again only after 200 ms, while a slot is free in a few. The newest goes
 /// first: when more come than can be served, serving the oldest first would make all of them late.
-/// Of those that are late already the newest goes first too: its caller was there a moment ago, while
-/// an older one may have given up, and a flow opened for it keeps a place empty. Not thread-safe.
+/// Of those that are late already the newest goes first too: its caller was there a moment ago,
+/// while an older one may have given up, and a flow opened for it keeps a place empty. Not
+/// thread-safe.
 class WaitingRoom
 {
 public:
