--- a/src/libs/placement/loadmeter.h
+++ b/src/libs/placement/loadmeter.h
@@ -71,10 +71,10 @@
     void dropOverdue(TimePoint now);
 
     std::unordered_map<Model::FlowKey, Request> requests_;
-    std::size_t expected_ = 0;    ///< requests_ without bytes
-    double openingMicros_ =
-        std::chrono::duration<double, std::micro>(ExpectedRequest).count() / OverdueFactor;    ///< smoothed time from a flow's SYN to its request
-    double arrivingShare_ = 1;    ///< smoothed share of new flows whose request comes
+    std::size_t expected_ = 0; ///< requests_ without bytes
+    double openingMicros_ = std::chrono::duration<double, std::micro>(ExpectedRequest).count()
+                            / OverdueFactor; ///< smoothed time from a flow's SYN to its request
+    double arrivingShare_ = 1;               ///< smoothed share of new flows whose request comes
     double smoothedMicros_ = 0;
     TimePoint lastSample_;
 };
--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -458,9 +458,8 @@
             if (!node.core)
                 return;
             const bool isAnswer = packet.payloadBytes > 0;
-            node.core->onBackendPacket(now_, packet,
-                                       isAnswer ? std::optional(node.backend.answerStatus)
-                                                : std::nullopt);
+            node.core->onBackendPacket(
+                now_, packet, isAnswer ? std::optional(node.backend.answerStatus) : std::nullopt);
             finishAgent(index);
             if (packet.syn)
                 after(Hop, [this, index, packet] { onSynAck(index, packet); });
--- a/tests/auto/placement/tst_loadboard.cpp
+++ b/tests/auto/placement/tst_loadboard.cpp
@@ -135,8 +135,8 @@
 
 TEST(LoadBoard, FailuresOfMostServersExcludeNone)
 {
-    const auto table = tableOf(
-        {instance("a", "harbour"), instance("b", "harbour"), instance("c", "harbour")});
+    const auto table =
+        tableOf({instance("a", "harbour"), instance("b", "harbour"), instance("c", "harbour")});
     LoadBoard board("harbour");
     board.onReport(failing("a", 0.9));
     board.onReport(load("b", 0, 20ms));
