--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -56,6 +56,7 @@
                               {"routes", core.configuration().routes.size()},
                               {"storeInStep", follower.lastCallSucceeded()},
                               {"storeCalls", store.callCount()},
+                              {"storeTimeline", std::uint64_t(store.timeline())},
                               {"agents", agents},
                               {"balancers", core.roster().balancers().size()},
                               {"cachedFlows", core.cachedFlows()},
@@ -108,7 +109,6 @@
         });
     const auto now = std::chrono::steady_clock::now();
     if (const auto read = directory.step(now, isResponsible, members); !read.empty()) {
-        log(Level::Info, "directory-read", {{"members", read.size()}});
         traffic.withCore([&](Forwarding::BalancerCore &core) {
             core.setLastKnownMembers(std::chrono::steady_clock::now(), read);
         });
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -143,10 +143,10 @@
     nlohmann::json objects = nlohmann::json::array();
     for (const Store::Object &object : listing.objects) {
         objects.push_back({{"key", object.key},
-                           {"version", std::uint64_t(object.version)},
+                           {"version", object.version.number()},
                            {"value", nlohmann::json::parse(object.value)}});
     }
-    return nlohmann::json{{"revision", std::uint64_t(listing.revision)},
+    return nlohmann::json{{"revision", listing.revision.number()},
                           {"objects", std::move(objects)}}
         .dump();
 }
--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -34,7 +34,7 @@
         case Membership::DirectoryStep::Wait:
             return {};
         case Membership::DirectoryStep::Write:
-            write(now, encoded);
+            write(now, encoded, members.size());
             return {};
         case Membership::DirectoryStep::Read:
             return read(now);
@@ -49,18 +49,22 @@
         if (const auto *object = std::get_if<Store::Object>(&found)) {
             version_ = object->version;
             policy_.onRead(object->value);
-            return Membership::decodeDirectory(object->value);
+            auto members = Membership::decodeDirectory(object->value);
+            log("directory-read", object->version, members.size());
+            return members;
         }
         if (std::get<Store::FailureKind>(found) == Store::FailureKind::NotFound) {
             version_.reset();
             policy_.onRead(std::nullopt);
+            log("directory-read", {}, 0);
         } else {
             onFailure(now, "read", std::get<Store::FailureKind>(found));
         }
         return {};
     }
 
-    void write(std::chrono::steady_clock::time_point now, const std::string &encoded)
+    void write(std::chrono::steady_clock::time_point now, const std::string &encoded,
+               std::size_t memberCount)
     {
         const Store::Precondition precondition =
             version_ ? Store::Precondition(Store::IfVersion{*version_}) : Store::IfAbsent{};
@@ -69,6 +73,7 @@
         if (const auto *version = std::get_if<Store::Version>(&written)) {
             version_ = *version;
             policy_.onWritten(encoded);
+            log("directory-written", *version, memberCount);
         } else {
             // The next read shows whether only the response was lost or another process wrote
             // first.
@@ -76,6 +81,14 @@
         }
     }
 
+    void log(const char *event, Store::Version version, std::size_t members)
+    {
+        Observability::log(Observability::Level::Info, event,
+                           {{"members", members},
+                            {"revision", version.number()},
+                            {"timeline", std::uint64_t(client_.timeline())}});
+    }
+
     void onFailure(std::chrono::steady_clock::time_point now, const char *call,
                    Store::FailureKind kind)
     {
--- a/src/libs/control/platformwatcher.cpp
+++ b/src/libs/control/platformwatcher.cpp
@@ -127,6 +127,10 @@
     if (const auto *failure = std::get_if<Store::FailureKind>(&listing))
         return onFailure(*failure);
     const auto &content = std::get<Store::Listing>(listing);
+    log(Level::Info, "platform-listed",
+        {{"revision", content.revision.number()},
+         {"timeline", std::uint64_t(client_.timeline())},
+         {"objects", content.objects.size()}});
     apply(content);
     policy_.onListed(content.revision);
 }
--- a/src/libs/membership/instanceregistry.cpp
+++ b/src/libs/membership/instanceregistry.cpp
@@ -44,7 +44,7 @@
         changed |= set(object.key, object.version, object.value);
     }
     for (auto &[key, entry] : entries_) {
-        const bool isNewer = std::uint64_t(entry.version) > std::uint64_t(listing.revision);
+        const bool isNewer = entry.version > listing.revision;
         if (listed.contains(key) || isNewer || !entry.instance)
             continue;
         entry.instance.reset();
--- a/src/libs/store/httpconnection.cpp
+++ b/src/libs/store/httpconnection.cpp
@@ -7,6 +7,8 @@
 
 #include <netinet/tcp.h>
 
+#include <charconv>
+
 namespace Store {
 
 using Poco::Net::HTTPRequest;
@@ -54,13 +56,26 @@
     socket().setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
-HttpConnection::HttpConnection(const Model::Endpoint &server, std::chrono::milliseconds timeout)
+HttpConnection::HttpConnection(const Model::Endpoint &server, std::chrono::milliseconds timeout,
+                               std::string timelineHeader)
     : session_(Model::addressText(server.address), server.port)
     , timeout_(timeout)
+    , timelineHeader_(std::move(timelineHeader))
 {
     session_.setKeepAlive(true);
 }
 
+/// Leaves the timeline as it is if \a header contains none: only the store itself names it, and a
+/// response may come from something in front of it.
+void HttpConnection::readTimeline(const std::string &header)
+{
+    std::uint64_t number = 0;
+    const char *const last = header.data() + header.size();
+    const auto [end, error] = std::from_chars(header.data(), last, number);
+    if (error == std::errc() && end == last)
+        timeline_ = Timeline(number);
+}
+
 boost::leaf::result<HttpResponse> HttpConnection::call(const HttpCall &request)
 {
     if (aborted_)
@@ -90,6 +105,8 @@
         HttpResponse response;
         response.status = header.getStatus();
         response.entityTag = header.get("ETag", "");
+        readTimeline(header.get(timelineHeader_, ""));
+        response.timeline = timeline_;
         Poco::StreamCopier::copyToString(in, response.body);
         if (!header.getKeepAlive())
             session_.reset();
--- a/src/libs/store/httpconnection.h
+++ b/src/libs/store/httpconnection.h
@@ -2,6 +2,7 @@
 
 #include "model/endpoint.h"
 #include "store/objectclient.h"
+#include "store/revision.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 
@@ -19,6 +20,7 @@
 {
     int status = 0;
     std::string entityTag;
+    Timeline timeline{}; ///< of the store that responded
     std::string body;
 };
 
@@ -38,8 +40,10 @@
 class HttpConnection
 {
 public:
-    /// \a timeout is the maximum wait for a connection and for a response.
-    HttpConnection(const Model::Endpoint &server, std::chrono::milliseconds timeout);
+    /// \a timeout is the maximum wait for a connection and for a response. \a timelineHeader is the
+    /// response header that contains the number of the store's timeline.
+    HttpConnection(const Model::Endpoint &server, std::chrono::milliseconds timeout,
+                   std::string timelineHeader);
 
     /// Sends \a request and returns the response. Fails with FailureKind::Unreachable if the
     /// request can't have arrived, and with FailureKind::OutcomeUnknown if there was no response.
@@ -52,7 +56,13 @@
     /// Returns the number of calls so far. Thread-safe.
     std::uint64_t callCount() const { return calls_; }
 
+    /// Returns the timeline of the latest response that named one; 0 before the first.
+    /// Thread-safe.
+    Timeline timeline() const { return timeline_; }
+
 private:
+    void readTimeline(const std::string &header);
+
     /// A session whose connections are checked by TCP keep-alive probes, so that a watch does not
     /// wait on a dead connection.
     class Session : public Poco::Net::HTTPClientSession
@@ -66,6 +76,8 @@
 
     Session session_;
     std::chrono::milliseconds timeout_;
+    std::string timelineHeader_;
+    std::atomic<Timeline> timeline_{};
     std::mutex abortMutex_;
     std::atomic<bool> aborted_ = false;
     std::atomic<std::uint64_t> calls_ = 0;
--- a/src/libs/store/httpobjectclient.cpp
+++ b/src/libs/store/httpobjectclient.cpp
@@ -12,6 +12,9 @@
 
 using Poco::Net::HTTPRequest;
 
+/// Response header with the number of the store's timeline.
+static constexpr const char *TimelineHeader = "Store-Timeline";
+
 static std::string percentEncoded(const std::string &text)
 {
     std::string result;
@@ -21,7 +24,7 @@
 
 static std::string entityTag(Version version)
 {
-    return fmt::format("\"{}\"", std::uint64_t(version));
+    return fmt::format("\"{}\"", version.number());
 }
 
 static std::optional<Version> parseEntityTag(std::string_view tag)
@@ -38,7 +41,7 @@
 
 HttpObjectClient::HttpObjectClient(const Model::Endpoint &platform,
                                    std::chrono::milliseconds timeout)
-    : connection_(platform, timeout)
+    : connection_(platform, timeout, TimelineHeader)
 {}
 
 boost::leaf::result<HttpResponse> HttpObjectClient::call(const HttpCall &request)
@@ -124,7 +127,7 @@
 {
     const std::string path =
         fmt::format("/v1/watch?prefix={}&after={}&waitMs={}", percentEncoded(prefix),
-                    std::uint64_t(after), wait.count());
+                    after.number(), wait.count());
     BOOST_LEAF_AUTO(response, call({HTTPRequest::HTTP_GET, path, {}, {}, wait}));
     try {
         const auto json = nlohmann::json::parse(response.body);
--- a/src/libs/store/httpobjectclient.h
+++ b/src/libs/store/httpobjectclient.h
@@ -46,6 +46,9 @@
     /// Returns the number of calls so far. Thread-safe.
     std::uint64_t callCount() const { return connection_.callCount(); }
 
+    /// Returns the timeline of the latest response. Thread-safe.
+    Timeline timeline() const { return connection_.timeline(); }
+
 private:
     /// Makes a call and converts an error status into a Failure.
     boost::leaf::result<HttpResponse> call(const HttpCall &request);
--- a/src/libs/store/objectclient.h
+++ b/src/libs/store/objectclient.h
@@ -1,24 +1,20 @@
 #pragma once
 
+#include "store/revision.h"
+
 #include <boost/leaf/result.hpp>
 
 #include <chrono>
 #include <concepts>
-#include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 /// Client of the platform's object API: versions, conditional updates and watches.
 namespace Store {
 
-/// Version of an object: the platform's revision at its last write.
-enum class Version : std::uint64_t {};
-
-/// Number of all writes to the platform.
-enum class Revision : std::uint64_t {};
-
 struct Object
 {
     std::string key;
@@ -100,7 +96,8 @@
 };
 
 /// Requirements on a client of the object API, so that tests can replace the platform. Each call
-/// may block for up to the client's timeout, and fails with Failure.
+/// may block for up to the client's timeout, and fails with Failure. \c timeline() is the timeline
+/// of the latest response.
 template<typename C>
 concept ObjectClient = requires(C client, const std::string &text, Precondition precondition,
                                 Revision revision, std::chrono::milliseconds wait, Version version)
@@ -120,6 +117,9 @@
     {
         client.watch(text, revision, wait)
         } -> std::same_as<boost::leaf::result<Changes>>;
+    {
+        std::as_const(client).timeline()
+        } -> std::same_as<Timeline>;
 };
 
 } // namespace Store
--- a/tests/auto/control/tst_announcementpolicy.cpp
+++ b/tests/auto/control/tst_announcementpolicy.cpp
@@ -124,7 +124,7 @@
 private:
     void store(const std::optional<Model::Instance> &instance)
     {
-        version_ = Store::Version(std::uint64_t(version_) + 1);
+        version_ = Store::Version(version_.number() + 1);
         stored_ = instance;
         history_.emplace_back(version_, stored_);
     }
--- a/tests/auto/membership/tst_instanceregistry.cpp
+++ b/tests/auto/membership/tst_instanceregistry.cpp
@@ -51,7 +51,7 @@
         const std::size_t revision = revision_ == 0 ? 0 : index % (revision_ + 1);
         std::map<std::string, Store::Change> latest;
         for (const Store::Change &change : history_) {
-            if (std::size_t(change.version) <= revision)
+            if (change.version.number() <= revision)
                 latest[change.key] = change;
         }
         Store::Listing listing;
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -68,6 +68,7 @@
     {
         return Store::Changes{};
     }
+    Store::Timeline timeline() const { return {}; }
 
     void writeConcurrently()
     {
--- a/tests/auto/platform_adapter/tst_objectstore.cpp
+++ b/tests/auto/platform_adapter/tst_objectstore.cpp
@@ -66,7 +66,7 @@
     const auto listing = std::get<Store::Listing>(attempt([&] { return store_.list("config/"); }));
     LONGS_EQUAL(3, listing.objects.size());
     STRCMP_EQUAL("config/c", listing.objects[2].key.c_str());
-    LONGS_EQUAL(9, std::uint64_t(listing.revision));
+    LONGS_EQUAL(9, listing.revision.number());
     STRCMP_EQUAL("GET /v1/objects/config?after=b ", standin_.requests()[1].c_str());
 }
 
@@ -75,7 +75,7 @@
     standin_.enqueueResponse(404, {{"error", "none"}, {"current_rev", 31}});
     const auto listing = std::get<Store::Listing>(attempt([&] { return store_.list("config/"); }));
     LONGS_EQUAL(0, listing.objects.size());
-    LONGS_EQUAL(31, std::uint64_t(listing.revision));
+    LONGS_EQUAL(31, listing.revision.number());
 }
 
 TEST(ObjectStore, WatchReportsChangesAndDeletions)
@@ -123,7 +123,7 @@
     standin_.enqueueResponse(200, object("thing", 9, 1));
     const auto version = std::get<Store::Version>(attempt(
         [&] { return store_.write("own/thing", "1", Store::IfVersion{Store::Version(8)}); }));
-    LONGS_EQUAL(9, std::uint64_t(version));
+    LONGS_EQUAL(9, version.number());
     CHECK_TRUE(standin_.requests()[0].starts_with("PUT /v1/objects/own/thing {"));
     CHECK_TRUE(standin_.requests()[0].find("\"revision\":8") != std::string::npos);
 }
