--- a/src/libs/control/configurationsynchronizer.h
+++ b/src/libs/control/configurationsynchronizer.h
@@ -116,9 +116,9 @@
     std::chrono::milliseconds watch(Store::Revision after)
     {
         if (!lastCallSucceeded_)
-            Observability::log(Observability::Level::Info, "store-watch-resumed",
-                               {{"after", after.number()},
-                                {"timeline", std::uint64_t(client_.timeline())}});
+            Observability::log(
+                Observability::Level::Info, "store-watch-resumed",
+                {{"after", after.number()}, {"timeline", std::uint64_t(client_.timeline())}});
         const auto changes =
             Store::attempt([&] { return client_.watch(options_.prefix, after, WatchTimeout); });
         logTimeline();
@@ -151,9 +151,9 @@
         const Store::Timeline timeline = client_.timeline();
         if (timeline == loggedTimeline_)
             return;
-        Observability::log(Observability::Level::Warning, "store-timeline",
-                           {{"timeline", std::uint64_t(timeline)},
-                            {"before", std::uint64_t(loggedTimeline_)}});
+        Observability::log(
+            Observability::Level::Warning, "store-timeline",
+            {{"timeline", std::uint64_t(timeline)}, {"before", std::uint64_t(loggedTimeline_)}});
         loggedTimeline_ = timeline;
     }
 
--- a/src/libs/store/httpobjectclient.cpp
+++ b/src/libs/store/httpobjectclient.cpp
@@ -125,9 +125,8 @@
 boost::leaf::result<Changes> HttpObjectClient::watch(const std::string &prefix, Revision after,
                                                      std::chrono::milliseconds wait)
 {
-    const std::string path =
-        fmt::format("/v1/watch?prefix={}&after={}&waitMs={}", percentEncoded(prefix),
-                    after.number(), wait.count());
+    const std::string path = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
+                                         percentEncoded(prefix), after.number(), wait.count());
     BOOST_LEAF_AUTO(response, call({HTTPRequest::HTTP_GET, path, {}, {}, wait}));
     try {
         const auto json = nlohmann::json::parse(response.body);
