--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -125,13 +125,16 @@
     traffic.start();
 
     Platform::ObjectStore store(process.store, StoreTimeout);
-    Follower follower(store, {Platform::ConfigurationKey, Platform::ConfigurationPrefix,
-                              std::random_device()(), Platform::readOperatorConfiguration,
-                              [&traffic](const Model::Configuration &configuration) {
-                                  traffic.withCore([&](Forwarding::BalancerCore &core) {
-                                      core.setConfiguration(configuration);
-                                  });
-                              }});
+    Follower::Options options;
+    options.key = Platform::ConfigurationKey;
+    options.prefix = Platform::ConfigurationPrefix;
+    options.seed = std::random_device()();
+    options.decode = Platform::readOperatorConfiguration;
+    options.changed = [&traffic](const Model::Configuration &configuration) {
+        traffic.withCore(
+            [&](Forwarding::BalancerCore &core) { core.setConfiguration(configuration); });
+    };
+    Follower follower(store, std::move(options));
     Platform::ObjectStore directoryStore(process.store, StoreTimeout);
     Directory directory(directoryStore, Platform::DirectoryKey);
     std::atomic<bool> isStopping = false;
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -144,9 +144,11 @@
     for (const Store::Object &object : listing.objects) {
         objects.push_back({{"key", object.key},
                            {"version", object.version.number()},
+                           {"timeline", std::uint64_t(object.version.timeline())},
                            {"value", nlohmann::json::parse(object.value)}});
     }
     return nlohmann::json{{"revision", listing.revision.number()},
+                          {"timeline", std::uint64_t(listing.revision.timeline())},
                           {"objects", std::move(objects)}}
         .dump();
 }
--- a/src/libs/control/configurationsynchronizer.h
+++ b/src/libs/control/configurationsynchronizer.h
@@ -13,8 +13,8 @@
 
 namespace Control {
 
-/// Pause after a change before the next watch, so that one call returns all changes that follow in
-/// quick succession. It is well below the shortest time in which a change must be in force, 3 s.
+/// Pause between watches while changes follow in quick succession, so that one call returns several
+/// of them. It is well below the shortest time in which a change must be in force, 3 s.
 constexpr std::chrono::milliseconds WatchCoalescingDelay{300};
 
 /// Keeps the configuration in force up to date with one object of a store, one call at a time.
@@ -29,6 +29,9 @@
         std::string key;        ///< of the configuration
         std::string prefix;     ///< of the objects to watch
         std::uint64_t seed = 0; ///< randomizes the pauses after failures
+        /// Returns the time.
+        std::function<std::chrono::steady_clock::time_point()> clock =
+            std::chrono::steady_clock::now;
         /// Parses an object's value; returns nothing if it is malformed. Called by step().
         std::function<std::optional<Model::Configuration>(const std::string &)> decode;
         /// Called by step() and offer(), with a lock held: must not call back into this object.
@@ -39,7 +42,7 @@
     ConfigurationSynchronizer(Client &client, Options options)
         : client_(client)
         , options_(std::move(options))
-        , policy_(0, options_.seed)
+        , policy_(0, options_.seed, WatchCoalescingDelay)
     {}
 
     /// Makes the next call, if one is due, and blocks until its end. Returns how long to wait
@@ -50,7 +53,7 @@
         if (std::holds_alternative<ListPlatform>(next))
             return list();
         if (const auto *watchStep = std::get_if<WatchPlatform>(&next))
-            return watch(watchStep->after);
+            return watch(*watchStep);
         if (const auto *wait = std::get_if<WaitFor>(&next))
             return wait->duration;
         return {};
@@ -104,7 +107,7 @@
         const auto &content = std::get<Store::Listing>(listing);
         Observability::log(Observability::Level::Info, "store-listed",
                            {{"revision", content.revision.number()},
-                            {"timeline", std::uint64_t(client_.timeline())},
+                            {"timeline", std::uint64_t(content.revision.timeline())},
                             {"objects", content.objects.size()}});
         for (const Store::Object &object : content.objects)
             handleObject(object.key, object.value);
@@ -113,14 +116,14 @@
         return {};
     }
 
-    std::chrono::milliseconds watch(Store::Revision after)
+    std::chrono::milliseconds watch(const WatchPlatform &watchStep)
     {
         if (!lastCallSucceeded_)
-            Observability::log(
-                Observability::Level::Info, "store-watch-resumed",
-                {{"after", after.number()}, {"timeline", std::uint64_t(client_.timeline())}});
-        const auto changes =
-            Store::attempt([&] { return client_.watch(options_.prefix, after, WatchTimeout); });
+            Observability::log(Observability::Level::Info, "store-watch-resumed",
+                               {{"after", watchStep.after.number()},
+                                {"timeline", std::uint64_t(watchStep.after.timeline())}});
+        const auto changes = Store::attempt(
+            [&] { return client_.watch(options_.prefix, watchStep.after, watchStep.wait); });
         logTimeline();
         if (const auto *failure = std::get_if<Store::FailureKind>(&changes))
             return onFailure(*failure);
@@ -130,8 +133,8 @@
                 handleObject(change.key, *change.value);
         }
         onSuccess();
-        policy_.onWatched(content.revision);
-        return content.changes.empty() ? std::chrono::milliseconds(0) : WatchCoalescingDelay;
+        policy_.onWatched(options_.clock(), content.revision, !content.changes.empty());
+        return {};
     }
 
     void handleObject(const std::string &key, const std::string &value)
--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -86,7 +86,7 @@
         Observability::log(Observability::Level::Info, event,
                            {{"members", members},
                             {"revision", version.number()},
-                            {"timeline", std::uint64_t(client_.timeline())}});
+                            {"timeline", std::uint64_t(version.timeline())}});
     }
 
     void onFailure(std::chrono::steady_clock::time_point now, const char *call,
--- a/src/libs/control/platformwatcher.cpp
+++ b/src/libs/control/platformwatcher.cpp
@@ -79,7 +79,7 @@
         if (std::holds_alternative<ListPlatform>(step))
             list();
         else if (const auto *watchStep = std::get_if<WatchPlatform>(&step))
-            watch(watchStep->after);
+            watch(*watchStep);
         else if (const auto *fetch = std::get_if<FetchPeerSnapshot>(&step))
             fetchPeerSnapshot(fetch->peer);
         else if (const auto *wait = std::get_if<WaitFor>(&step))
@@ -129,20 +129,20 @@
     const auto &content = std::get<Store::Listing>(listing);
     log(Level::Info, "platform-listed",
         {{"revision", content.revision.number()},
-         {"timeline", std::uint64_t(client_.timeline())},
+         {"timeline", std::uint64_t(content.revision.timeline())},
          {"objects", content.objects.size()}});
     apply(content);
     policy_.onListed(content.revision);
 }
 
-void PlatformWatcher::watch(Store::Revision after)
+void PlatformWatcher::watch(const WatchPlatform &step)
 {
-    const auto changes = attempt([&] { return client_.watch("", after, WatchTimeout); });
+    const auto changes = attempt([&] { return client_.watch("", step.after, step.wait); });
     if (const auto *failure = std::get_if<Store::FailureKind>(&changes))
         return onFailure(*failure);
     const auto &content = std::get<Store::Changes>(changes);
     apply(content);
-    policy_.onWatched(content.revision);
+    policy_.onWatched(std::chrono::steady_clock::now(), content.revision, !content.changes.empty());
 }
 
 void PlatformWatcher::fetchPeerSnapshot(std::size_t index)
--- a/src/libs/control/platformwatcher.h
+++ b/src/libs/control/platformwatcher.h
@@ -56,7 +56,7 @@
     void run();
     void applyNotices();
     void list();
-    void watch(Store::Revision after);
+    void watch(const WatchPlatform &step);
     void fetchPeerSnapshot(std::size_t index);
     void pause(std::chrono::milliseconds wait);
     void onFailure(Store::FailureKind kind);
--- a/src/libs/control/watchpolicy.cpp
+++ b/src/libs/control/watchpolicy.cpp
@@ -4,8 +4,10 @@
 
 static constexpr std::chrono::milliseconds FirstPause{200};
 
-WatchPolicy::WatchPolicy(std::size_t peerCount, std::uint64_t seed)
+WatchPolicy::WatchPolicy(std::size_t peerCount, std::uint64_t seed,
+                         std::chrono::milliseconds coalescingDelay)
     : backoff_(FirstPause, MaxPlatformBackoff, seed)
+    , coalescingDelay_(coalescingDelay)
     , peerCount_(peerCount)
     , nextPeer_(peerCount > 0 ? std::size_t(seed % peerCount) : 0)
 {}
@@ -15,8 +17,10 @@
     switch (state_) {
     case State::Listing:
         return ListPlatform{};
+    case State::Resuming:
+        return WatchPlatform{revision_, ResumeTimeout};
     case State::Watching:
-        return WatchPlatform{revision_};
+        return WatchPlatform{revision_, WatchTimeout};
     case State::FetchingPeerSnapshot:
         state_ = State::Pausing;
         return FetchPeerSnapshot{nextPeer_++ % peerCount_};
@@ -27,33 +31,49 @@
     return ListPlatform{};
 }
 
+void WatchPolicy::pauseBefore(State next, std::chrono::milliseconds pause)
+{
+    state_ = State::Pausing;
+    afterPause_ = next;
+    pause_ = pause;
+}
+
 void WatchPolicy::onListed(Store::Revision revision)
 {
     revision_ = revision;
     hasListed_ = true;
+    lastCallSucceeded_ = true;
     state_ = State::Watching;
     backoff_.onSuccess();
 }
 
-void WatchPolicy::onWatched(Store::Revision revision)
+void WatchPolicy::onWatched(TimePoint now, Store::Revision revision, bool hasChanges)
 {
+    lastCallSucceeded_ = true;
     // An older revision means that the platform lost the state in between. Later changes alone
     // would not show that, only a listing does.
-    if (revision < revision_) {
+    if (revision.timeline() != revision_.timeline() || revision < revision_) {
         state_ = State::Listing;
         return;
     }
     revision_ = revision;
     state_ = State::Watching;
     backoff_.onSuccess();
+    if (!hasChanges)
+        return;
+    if (lastChange_ && now - *lastChange_ <= 2 * coalescingDelay_)
+        pauseBefore(State::Resuming, coalescingDelay_);
+    lastChange_ = now;
 }
 
 void WatchPolicy::onFailed(Store::FailureKind kind)
 {
-    pause_ = backoff_.onFailure();
-    const bool canResumeWatch = hasListed_ && kind != Store::FailureKind::TooOld;
-    afterPause_ = canResumeWatch ? State::Watching : State::Listing;
-    state_ = peerCount_ > 0 ? State::FetchingPeerSnapshot : State::Pausing;
+    lastCallSucceeded_ = false;
+    const bool mustList = !hasListed_ || kind == Store::FailureKind::TooOld
+                          || kind == Store::FailureKind::OtherTimeline;
+    pauseBefore(mustList ? State::Listing : State::Resuming, backoff_.onFailure());
+    if (peerCount_ > 0)
+        state_ = State::FetchingPeerSnapshot;
 }
 
 } // namespace Control
--- a/src/libs/control/watchpolicy.h
+++ b/src/libs/control/watchpolicy.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace Control {
@@ -20,10 +21,14 @@
 struct ListPlatform
 {};
 
-/// Step: watch the platform for changes after the revision \c after.
+/// Timeout of a watch that only finds out what happened since the last response.
+constexpr std::chrono::milliseconds ResumeTimeout{1};
+
+/// Step: watch the platform for changes after the revision \c after, for at most \c wait.
 struct WatchPlatform
 {
     Store::Revision after;
+    std::chrono::milliseconds wait;
 };
 
 /// Step: request the snapshot of the peer with the index \c peer.
@@ -41,14 +46,24 @@
 using WatchStep = std::variant<ListPlatform, WatchPlatform, FetchPeerSnapshot, WaitFor>;
 
 /// Decides which calls keep a process up to date with the platform: list once, then watch. After a
-/// failure it backs off, and requests a peer's snapshot before each pause. Performs no I/O and
-/// reads no clock. Not thread-safe.
+/// failure it backs off, and requests a peer's snapshot before each pause.
+///
+/// After each pause the first watch returns at once. The platform may have been restored meanwhile
+/// and may have given out the last revision again, so that a long watch would wait for a change
+/// after it and miss the earlier ones. The response tells the timeline.
+///
+/// Performs no I/O and reads no clock. Not thread-safe.
 class WatchPolicy
 {
 public:
+    /// Time of the process's steady clock.
+    using TimePoint = std::chrono::steady_clock::time_point;
+
     /// \a peerCount is the number of peers to ask in turn while the platform is down. \a seed
-    /// randomizes the pauses and the first peer.
-    WatchPolicy(std::size_t peerCount, std::uint64_t seed);
+    /// randomizes the pauses and the first peer. Changes that follow each other within
+    /// \a coalescingDelay are reported together, each time after a pause of that length.
+    WatchPolicy(std::size_t peerCount, std::uint64_t seed,
+                std::chrono::milliseconds coalescingDelay = {});
 
     /// Returns the next step.
     WatchStep next();
@@ -56,24 +71,30 @@
     /// Records that the platform returned a listing as of \a revision.
     void onListed(Store::Revision revision);
 
-    /// Records that a watch ended at \a revision, with or without changes. If \a revision is lower
-    /// than the last one, the next step is a listing.
-    void onWatched(Store::Revision revision);
+    /// Records that a watch ended at \a revision at the time \a now, and whether it reported
+    /// changes. If \a revision is not on the timeline of the last one or is lower, the next step is
+    /// a listing.
+    void onWatched(TimePoint now, Store::Revision revision, bool hasChanges);
 
     /// Records that a call to the platform failed.
     void onFailed(Store::FailureKind kind);
 
     /// Whether the last call to the platform succeeded.
-    bool lastCallSucceeded() const { return state_ == State::Watching; }
+    bool lastCallSucceeded() const { return lastCallSucceeded_; }
 
 private:
-    enum class State { Listing, Watching, FetchingPeerSnapshot, Pausing };
+    enum class State { Listing, Resuming, Watching, FetchingPeerSnapshot, Pausing };
+
+    void pauseBefore(State next, std::chrono::milliseconds pause);
 
     Store::Backoff backoff_;
     State state_ = State::Listing;
     State afterPause_ = State::Listing;
     Store::Revision revision_{};
     bool hasListed_ = false;
+    bool lastCallSucceeded_ = false;
+    std::chrono::milliseconds coalescingDelay_;
+    std::optional<TimePoint> lastChange_;
     std::size_t peerCount_;
     std::size_t nextPeer_;
     std::chrono::milliseconds pause_{0};
--- a/src/libs/store/httpconnection.cpp
+++ b/src/libs/store/httpconnection.cpp
@@ -20,11 +20,21 @@
 static constexpr int KeepAliveIntervalSeconds = 1;
 static constexpr int KeepAliveProbes = 2;
 
+/// Time without a request after which Poco replaces a connection. Longer than the longest watch.
+static constexpr std::chrono::seconds MaxConnectionIdleTime{60};
+
 static Poco::Timespan timespan(std::chrono::milliseconds time)
 {
     return Poco::Timespan(std::chrono::microseconds(time).count());
 }
 
+boost::leaf::result<void> checkTimeline(const HttpResponse &response, Revision position)
+{
+    if (response.timeline != position.timeline())
+        return boost::leaf::new_error(Failure{FailureKind::OtherTimeline});
+    return {};
+}
+
 std::optional<FailureKind> failureForStatus(int status)
 {
     switch (status) {
@@ -49,6 +59,8 @@
 
 void HttpConnection::Session::connect(const Poco::Net::SocketAddress &address)
 {
+    if (!mayConnect_)
+        throw Poco::Net::ConnectionResetException("the connection was closed");
     HTTPClientSession::connect(address);
     socket().setKeepAlive(true);
     socket().setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
@@ -63,6 +75,7 @@
     , timelineHeader_(std::move(timelineHeader))
 {
     session_.setKeepAlive(true);
+    session_.setKeepAliveTimeout(timespan(MaxConnectionIdleTime));
 }
 
 /// Leaves the timeline as it is if \a header contains none: only the store itself names it, and a
@@ -94,6 +107,7 @@
             session_.reset();
         // The extra timeout applies to the response only, not to connecting.
         const bool isConnected = session_.connected();
+        session_.setMayConnect(!request.requiresOpenConnection);
         session_.setTimeout(timespan(isConnected ? wait : timeout_));
         std::ostream &out = session_.sendRequest(message);
         mayHaveArrived = true;
--- a/src/libs/store/httpconnection.h
+++ b/src/libs/store/httpconnection.h
@@ -32,6 +32,7 @@
     std::string body;
     std::map<std::string, std::string> headers;
     std::chrono::milliseconds extraTimeout{0}; ///< added to the timeout of the connection
+    bool requiresOpenConnection = false; ///< fail with FailureKind::Unreachable if there is none
 };
 
 /// Makes calls over one connection, which is opened on demand and checked by TCP keep-alive probes.
@@ -49,6 +50,10 @@
     /// request can't have arrived, and with FailureKind::OutcomeUnknown if there was no response.
     boost::leaf::result<HttpResponse> call(const HttpCall &request);
 
+    /// Whether the next call uses the connection of the last one, unless the server closed it
+    /// since.
+    bool isOpen() const { return session_.connected(); }
+
     /// Makes a call in progress fail, and each later one with FailureKind::Unreachable.
     /// Thread-safe.
     void abort();
@@ -70,8 +75,13 @@
     public:
         using HTTPClientSession::HTTPClientSession;
 
+        void setMayConnect(bool mayConnect) { mayConnect_ = mayConnect; }
+
     protected:
         void connect(const Poco::Net::SocketAddress &address) override;
+
+    private:
+        bool mayConnect_ = true;
     };
 
     Session session_;
@@ -83,6 +93,10 @@
     std::atomic<std::uint64_t> calls_ = 0;
 };
 
+/// Fails with FailureKind::OtherTimeline if \a response comes from another timeline than that of
+/// \a position, to which the call referred. Thread-safe.
+boost::leaf::result<void> checkTimeline(const HttpResponse &response, Revision position);
+
 /// Returns the failure that the HTTP \a status stands for; nothing for a success. Thread-safe.
 std::optional<FailureKind> failureForStatus(int status);
 
--- a/src/libs/store/httpobjectclient.cpp
+++ b/src/libs/store/httpobjectclient.cpp
@@ -22,21 +22,40 @@
     return result;
 }
 
+/// Returns the entity tag of \a version. It contains the timeline, so that a condition on a version
+/// never holds on another timeline.
 static std::string entityTag(Version version)
 {
-    return fmt::format("\"{}\"", version.number());
+    return fmt::format("\"{}-{}\"", std::uint64_t(version.timeline()), version.number());
+}
+
+static std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
 }
 
 static std::optional<Version> parseEntityTag(std::string_view tag)
 {
-    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"')
+    const std::size_t separator = tag.find('-');
+    if (tag.size() < 2 || tag.front() != '"' || tag.back() != '"' || separator == tag.npos)
         return std::nullopt;
-    tag = tag.substr(1, tag.size() - 2);
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(tag.data(), tag.data() + tag.size(), number);
-    if (error != std::errc() || end != tag.data() + tag.size())
+    const auto timeline = parseNumber(tag.substr(1, separator - 1));
+    const auto number = parseNumber(tag.substr(separator + 1, tag.size() - separator - 2));
+    if (!timeline || !number)
         return std::nullopt;
-    return Version(number);
+    return Version(*number, Timeline(*timeline));
+}
+
+/// Parses the position that \a json gives by the member \a name and its timeline. A peer may run a
+/// version that does not name timelines.
+static Revision readPosition(const nlohmann::json &json, const char *name)
+{
+    return Revision(json.at(name).get<std::uint64_t>(),
+                    Timeline(json.value("timeline", std::uint64_t(0))));
 }
 
 HttpObjectClient::HttpObjectClient(const Model::Endpoint &platform,
@@ -77,11 +96,10 @@
     try {
         const auto json = nlohmann::json::parse(response.body);
         Listing listing;
-        listing.revision = Revision(json.at("revision").get<std::uint64_t>());
+        listing.revision = readPosition(json, "revision");
         for (const auto &object : json.at("objects")) {
             listing.objects.push_back({object.at("key").get<std::string>(),
-                                       Version(object.at("version").get<std::uint64_t>()),
-                                       object.at("value").dump()});
+                                       readPosition(object, "version"), object.at("value").dump()});
         }
         return listing;
     } catch (const nlohmann::json::exception &) {
@@ -125,16 +143,19 @@
 boost::leaf::result<Changes> HttpObjectClient::watch(const std::string &prefix, Revision after,
                                                      std::chrono::milliseconds wait)
 {
-    const std::string path = fmt::format("/v1/watch?prefix={}&after={}&waitMs={}",
-                                         percentEncoded(prefix), after.number(), wait.count());
+    const std::string path =
+        fmt::format("/v1/watch?prefix={}&timeline={}&after={}&waitMs={}", percentEncoded(prefix),
+                    std::uint64_t(after.timeline()), after.number(), wait.count());
     BOOST_LEAF_AUTO(response, call({HTTPRequest::HTTP_GET, path, {}, {}, wait}));
     try {
         const auto json = nlohmann::json::parse(response.body);
         Changes changes;
-        changes.revision = Revision(json.at("revision").get<std::uint64_t>());
+        changes.revision = readPosition(json, "revision");
+        if (changes.revision.timeline() != after.timeline())
+            return boost::leaf::new_error(Failure{FailureKind::OtherTimeline});
         for (const auto &entry : json.at("changes")) {
-            Change change{entry.at("key").get<std::string>(),
-                          Version(entry.at("version").get<std::uint64_t>()), std::nullopt};
+            Change change{entry.at("key").get<std::string>(), readPosition(entry, "version"),
+                          std::nullopt};
             if (!entry.at("value").is_null())
                 change.value = entry.at("value").dump();
             changes.changes.push_back(std::move(change));
--- a/src/libs/store/objectclient.h
+++ b/src/libs/store/objectclient.h
@@ -63,6 +63,7 @@
     Conflict,       ///< the precondition of a write did not hold
     NotFound,       ///< no such object
     TooOld,         ///< the history since the watch's start was dropped; list again
+    OtherTimeline,  ///< the store was restored since the revision in the call; read again
     Overloaded,     ///< the platform rejected the call for now; retry later
     Malformed,      ///< the response has an unknown format or status
 };
@@ -81,6 +82,8 @@
         return "not-found";
     case FailureKind::TooOld:
         return "too-old";
+    case FailureKind::OtherTimeline:
+        return "other-timeline";
     case FailureKind::Overloaded:
         return "overloaded";
     case FailureKind::Malformed:
@@ -98,6 +101,11 @@
 /// Requirements on a client of the object API, so that tests can replace the platform. Each call
 /// may block for up to the client's timeout, and fails with Failure. \c timeline() is the timeline
 /// of the latest response.
+///
+/// The platform may know revisions by number only. A call with a revision of another timeline than
+/// that of its response fails: a watch would miss the changes between both, and a write may have
+/// taken effect over an object that the caller has not seen. A long watch must directly follow a
+/// response, since only responses tell the timeline.
 template<typename C>
 concept ObjectClient = requires(C client, const std::string &text, Precondition precondition,
                                 Revision revision, std::chrono::milliseconds wait, Version version)
--- a/tests/auto/control/tst_watchpolicy.cpp
+++ b/tests/auto/control/tst_watchpolicy.cpp
@@ -5,16 +5,49 @@
 using namespace Control;
 using Store::FailureKind;
 using Store::Revision;
+using namespace std::chrono_literals;
+
+static const WatchPolicy::TimePoint start = WatchPolicy::TimePoint() + 100s;
 
 TEST_GROUP(WatchPolicy){};
 
+TEST(WatchPolicy, LongWatchFollowsOnlyAResponse)
+{
+    WatchPolicy policy(0, 1, 300ms);
+    policy.next();
+    policy.onListed(Revision(7));
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
+    policy.onFailed(FailureKind::OutcomeUnknown);
+    CHECK_TRUE(std::holds_alternative<WaitFor>(policy.next()));
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == ResumeTimeout);
+    policy.onWatched(start, Revision(8), true);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
+    // Changes in quick succession are collected during a pause.
+    policy.onWatched(start + 400ms, Revision(9), true);
+    CHECK_TRUE(std::get<WaitFor>(policy.next()).duration == 300ms);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == ResumeTimeout);
+}
+
+TEST(WatchPolicy, ListsAgainOnAnotherTimeline)
+{
+    WatchPolicy policy(0, 1);
+    policy.next();
+    policy.onListed(Revision(7, Store::Timeline(1)));
+    policy.onWatched(start, Revision(9, Store::Timeline(2)), false);
+    CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
+    policy.onListed(Revision(9, Store::Timeline(2)));
+    policy.onFailed(FailureKind::OtherTimeline);
+    CHECK_TRUE(std::holds_alternative<WaitFor>(policy.next()));
+    CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
+}
+
 TEST(WatchPolicy, ListsThenWatches)
 {
     WatchPolicy policy(0, 1);
     CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
     policy.onListed(Revision(7));
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).after == Revision(7));
-    policy.onWatched(Revision(9));
+    policy.onWatched(start, Revision(9), true);
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).after == Revision(9));
 }
 
@@ -23,7 +56,7 @@
     WatchPolicy policy(0, 1);
     policy.next();
     policy.onListed(Revision(7));
-    policy.onWatched(Revision(3));
+    policy.onWatched(start, Revision(3), true);
     CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
 }
 
--- a/tests/auto/platform_adapter/tst_objectstore.cpp
+++ b/tests/auto/platform_adapter/tst_objectstore.cpp
@@ -143,13 +143,17 @@
     std::mutex mutex;
     std::condition_variable changed;
     Model::Generation newest{};
-    Control::ConfigurationFollower<Platform::ObjectStore> follower(
-        store, {Platform::ConfigurationKey, "config/", 1, Platform::readOperatorConfiguration,
-                [&](const Model::Configuration &configuration) {
-                    const std::lock_guard guard(mutex);
-                    newest = configuration.generation;
-                    changed.notify_all();
-                }});
+    Control::ConfigurationFollower<Platform::ObjectStore>::Options options;
+    options.key = Platform::ConfigurationKey;
+    options.prefix = "config/";
+    options.seed = 1;
+    options.decode = Platform::readOperatorConfiguration;
+    options.changed = [&](const Model::Configuration &configuration) {
+        const std::lock_guard guard(mutex);
+        newest = configuration.generation;
+        changed.notify_all();
+    };
+    Control::ConfigurationFollower<Platform::ObjectStore> follower(store, std::move(options));
     std::unique_lock lock(mutex);
     changed.wait_for(lock, 10s, [&] { return newest >= Model::Generation(generation); });
     return newest;
--- a/tests/auto/platform_adapter/tst_storerestore.cpp
+++ b/tests/auto/platform_adapter/tst_storerestore.cpp
@@ -3,8 +3,8 @@
 #include "platform/operatorconfiguration.h"
 #include "store/conditionalwrite.h"
 
-#include "restorablestore.h"
 #include "simulation.h"
+#include "standins/restorablestore.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -414,12 +414,15 @@
 
     boost::leaf::result<Store::Listing> list(const std::string &prefix)
     {
-        Store::Listing listing;
+        std::uint64_t revision = 0;
+        std::map<std::string, RestorableStore::Entry> entries;
         BOOST_LEAF_CHECK(exchange([&] {
-            listing.revision = position(world_.store_.revision());
-            for (const auto &[key, entry] : world_.store_.list(prefix))
-                listing.objects.push_back({key, position(entry.revision), entry.value});
+            revision = world_.store_.revision();
+            entries = world_.store_.list(prefix);
         }));
+        Store::Listing listing{position(revision), {}};
+        for (const auto &[key, entry] : entries)
+            listing.objects.push_back({key, position(entry.revision), entry.value});
         return listing;
     }
 
@@ -433,6 +436,8 @@
         }));
         if (!written)
             return failure(FailureKind::Conflict);
+        if (const auto *ifVersion = std::get_if<Store::IfVersion>(&precondition))
+            BOOST_LEAF_CHECK(checkTimeline(ifVersion->version));
         return position(*written);
     }
 
@@ -445,7 +450,7 @@
                                               std::chrono::milliseconds wait)
     {
         std::optional<std::vector<RestorableStore::Event>> events;
-        Store::Changes changes;
+        std::uint64_t current = 0;
         BOOST_LEAF_CHECK(exchange([&] {
             const TimePoint deadline = world_.simulation_.now() + wait;
             const auto interruptions = world_.interruptions_;
@@ -459,10 +464,12 @@
                 world_.simulation_.waitForChange(deadline);
                 pauseUntil(world_.simulation_.now());
             }
-            changes.revision = position(world_.store_.revision());
+            current = world_.store_.revision();
         }));
         if (!events)
             return failure(FailureKind::TooOld);
+        BOOST_LEAF_CHECK(checkTimeline(after));
+        Store::Changes changes{position(current), {}};
         for (const auto &[revision, key, value] : *events)
             changes.changes.push_back({key, position(revision), value});
         return changes;
@@ -476,7 +483,18 @@
         return boost::leaf::new_error(Store::Failure{kind});
     }
 
-    Store::Revision position(std::uint64_t number) const { return Store::Revision(number); }
+    Store::Revision position(std::uint64_t number) const
+    {
+        return Store::Revision(number, timeline_);
+    }
+
+    /// Fails if the last response does not come from the timeline of \a revision.
+    boost::leaf::result<void> checkTimeline(Store::Revision revision) const
+    {
+        if (timeline_ != revision.timeline())
+            return failure(FailureKind::OtherTimeline);
+        return {};
+    }
 
     void pauseUntil(TimePoint time) { world_.waitUntil(time, balancer_, run_); }
     void pause(std::chrono::milliseconds time) { pauseUntil(world_.simulation_.now() + time); }
@@ -525,11 +543,16 @@
 void World::followConfiguration(int index, std::uint64_t run)
 {
     StoreClient client(*this, index, run);
-    Control::ConfigurationSynchronizer<StoreClient> synchronizer(
-        client,
-        {Platform::ConfigurationKey, Platform::ConfigurationPrefix, random_(),
-         Platform::readOperatorConfiguration,
-         [&](const Model::Configuration &configuration) { onApplied(index, configuration); }});
+    Control::ConfigurationSynchronizer<StoreClient>::Options options;
+    options.key = Platform::ConfigurationKey;
+    options.prefix = Platform::ConfigurationPrefix;
+    options.seed = random_();
+    options.clock = [this] { return simulation_.now(); };
+    options.decode = Platform::readOperatorConfiguration;
+    options.changed = [&](const Model::Configuration &configuration) {
+        onApplied(index, configuration);
+    };
+    Control::ConfigurationSynchronizer<StoreClient> synchronizer(client, std::move(options));
     while (true)
         waitUntil(simulation_.now() + synchronizer.step(), index, run);
 }
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,5 +1,7 @@
 #include "standins.h"
 
+#include "restorablestore.h"
+
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -25,17 +27,12 @@
 static constexpr std::size_t MaxValueBytes = 1024 * 1024;
 static constexpr int Ok = 200;
 static constexpr int NotFound = 404;
+static constexpr int Gone = 410;
 static constexpr int PreconditionFailed = 412;
 static constexpr int TooLarge = 413;
 
 namespace {
 
-struct Stored
-{
-    std::uint64_t version = 0;
-    nlohmann::json value; ///< null after a deletion
-};
-
 /// Injected faults, set by PUT /faults.
 struct Faults
 {
@@ -57,14 +54,15 @@
     void watch(HTTPServerRequest &request, HTTPServerResponse &response);
     void read(const std::string &key, HTTPServerResponse &response);
     void write(const std::string &key, HTTPServerRequest &request, HTTPServerResponse &response);
-    bool preconditionHolds(const Stored &stored, const HTTPServerRequest &request) const;
     nlohmann::json counters();
+    std::string entityTag(std::uint64_t version) const;
+    void send(HTTPServerResponse &response, int status, const nlohmann::json &body);
 
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, Stored> objects_;
-    std::map<std::string, Stored> stale_;
-    std::uint64_t revision_ = 0;
+    RestorableStore store_{Store::Timeline(0)};
+    RestorableStore stale_;
+    std::uint64_t restores_ = 0;
     Faults faults_;
     std::map<std::string, std::uint64_t> counters_;
 };
@@ -95,7 +93,7 @@
     if (path == objectsPath)
         return list(queryParameters(request)["prefix"], response);
     if (!path.starts_with(objectsPath + '/'))
-        return sendJson(response, NotFound, nullptr);
+        return send(response, NotFound, nullptr);
     const std::string key = path.substr(objectsPath.size() + 1);
     if (request.getMethod() == "GET")
         read(key, response);
@@ -112,7 +110,11 @@
         faults_.loseAnswers = json.value("loseAnswers", 0);
         faults_.slowMs = json.value("slowMs", 0);
         faults_.staleReads = json.value("staleReads", false);
-        stale_ = objects_;
+        stale_ = store_;
+        if (const std::size_t lostWrites = json.value("lostWrites", 0); lostWrites > 0) {
+            store_.restore(lostWrites);
+            ++restores_;
+        }
     }
     changed_.notify_all();
     sendJson(response, Ok, json);
@@ -121,64 +123,81 @@
 nlohmann::json Platform::counters()
 {
     const std::lock_guard guard(mutex_);
-    return {{"revision", revision_}, {"calls", counters_}};
+    return {{"revision", store_.revision()}, {"calls", counters_}};
+}
+
+std::string Platform::entityTag(std::uint64_t version) const
+{
+    return fmt::format("\"{}-{}\"", std::uint64_t(store_.timeline()), version);
+}
+
+void Platform::send(HTTPServerResponse &response, int status, const nlohmann::json &body)
+{
+    std::unique_lock lock(mutex_);
+    response.set("Store-Timeline", std::to_string(std::uint64_t(store_.timeline())));
+    lock.unlock();
+    sendJson(response, status, body);
 }
 
 void Platform::list(const std::string &prefix, HTTPServerResponse &response)
 {
     nlohmann::json objects = nlohmann::json::array();
     std::unique_lock lock(mutex_);
-    for (const auto &[key, stored] : faults_.staleReads ? stale_ : objects_) {
-        if (key.starts_with(prefix) && !stored.value.is_null())
-            objects.push_back({{"key", key}, {"version", stored.version}, {"value", stored.value}});
-    }
-    const nlohmann::json listing{{"revision", revision_}, {"objects", std::move(objects)}};
+    const auto timeline = std::uint64_t(store_.timeline());
+    for (const auto &[key, entry] : (faults_.staleReads ? stale_ : store_).list(prefix))
+        objects.push_back({{"key", key},
+                           {"version", entry.revision},
+                           {"timeline", timeline},
+                           {"value", nlohmann::json::parse(entry.value)}});
+    const nlohmann::json listing{
+        {"revision", store_.revision()}, {"timeline", timeline}, {"objects", std::move(objects)}};
     lock.unlock();
-    sendJson(response, Ok, listing);
+    send(response, Ok, listing);
 }
 
 void Platform::watch(HTTPServerRequest &request, HTTPServerResponse &response)
 {
     auto query = queryParameters(request);
     const std::uint64_t after = std::stoull(query["after"]);
+    const Store::Timeline timeline{std::stoull(query["timeline"])};
     const auto until =
         std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(query["waitMs"]));
     nlohmann::json changes = nlohmann::json::array();
     std::unique_lock lock(mutex_);
-    changed_.wait_until(lock, until, [&] { return revision_ > after || faults_.outage; });
-    if (faults_.outage)
+    const auto restores = restores_;
+    const auto isOver = [&] {
+        return timeline != store_.timeline() || store_.revision() != after || faults_.outage;
+    };
+    changed_.wait_until(lock, until, isOver);
+    if (faults_.outage || restores_ != restores)
         throw std::runtime_error("outage");
-    for (const auto &[key, stored] : objects_) {
-        if (key.starts_with(query["prefix"]) && stored.version > after)
-            changes.push_back({{"key", key}, {"version", stored.version}, {"value", stored.value}});
+    const auto events = store_.eventsAfter(query["prefix"], after);
+    if (!events || timeline != store_.timeline()) {
+        lock.unlock();
+        return send(response, Gone, nullptr);
     }
-    const nlohmann::json answer{{"revision", revision_}, {"changes", std::move(changes)}};
+    for (const auto &[revision, key, value] : *events)
+        changes.push_back({{"key", key},
+                           {"version", revision},
+                           {"timeline", std::uint64_t(timeline)},
+                           {"value", value ? nlohmann::json::parse(*value) : nullptr}});
+    const nlohmann::json answer{{"revision", store_.revision()},
+                                {"timeline", std::uint64_t(timeline)},
+                                {"changes", std::move(changes)}};
     lock.unlock();
-    sendJson(response, Ok, answer);
+    send(response, Ok, answer);
 }
 
 void Platform::read(const std::string &key, HTTPServerResponse &response)
 {
     std::unique_lock lock(mutex_);
-    const auto &objects = faults_.staleReads ? stale_ : objects_;
-    const auto entry = objects.find(key);
-    if (entry == objects.end() || entry->second.value.is_null()) {
-        lock.unlock();
-        return sendJson(response, NotFound, nullptr);
-    }
-    const Stored stored = entry->second;
+    const auto entry = (faults_.staleReads ? stale_ : store_).read(key);
+    if (entry)
+        response.set("ETag", entityTag(entry->revision));
     lock.unlock();
-    response.set("ETag", fmt::format("\"{}\"", stored.version));
-    sendJson(response, Ok, stored.value);
-}
-
-bool Platform::preconditionHolds(const Stored &stored, const HTTPServerRequest &request) const
-{
-    if (request.get("If-None-Match", "") == "*")
-        return stored.value.is_null();
-    const std::string condition = request.get("If-Match", "");
-    return condition.empty()
-           || (!stored.value.is_null() && condition == fmt::format("\"{}\"", stored.version));
+    if (!entry)
+        return send(response, NotFound, nullptr);
+    send(response, Ok, nlohmann::json::parse(entry->value));
 }
 
 void Platform::write(const std::string &key, HTTPServerRequest &request,
@@ -186,17 +205,22 @@
 {
     const std::string body = readBody(request);
     if (body.size() > MaxValueBytes)
-        return sendJson(response, TooLarge, nullptr);
+        return send(response, TooLarge, nullptr);
     const bool isDeletion = request.getMethod() == "DELETE";
-    const auto value = isDeletion ? nlohmann::json() : nlohmann::json::parse(body);
     std::unique_lock lock(mutex_);
-    Stored &stored = objects_[key];
-    if (!preconditionHolds(stored, request)) {
+    const auto entry = store_.read(key);
+    const std::string condition = request.get("If-Match", "");
+    const bool isWanted =
+        request.get("If-None-Match", "") == "*"
+            ? !entry
+            : condition.empty() || (entry && condition == entityTag(entry->revision));
+    if (!isWanted) {
         lock.unlock();
-        return sendJson(response, PreconditionFailed, nullptr);
+        return send(response, PreconditionFailed, nullptr);
     }
-    stored = {++revision_, value};
-    const std::uint64_t version = stored.version;
+    const std::uint64_t version = store_.overwrite(
+        key, isDeletion ? std::nullopt : std::optional(nlohmann::json::parse(body).dump()));
+    const std::string tag = entityTag(version);
     const bool dropsResponse = faults_.loseAnswers > 0;
     if (dropsResponse)
         --faults_.loseAnswers;
@@ -204,8 +228,8 @@
     changed_.notify_all();
     if (dropsResponse)
         throw std::runtime_error("response dropped");
-    response.set("ETag", fmt::format("\"{}\"", version));
-    sendJson(response, Ok, nullptr);
+    response.set("ETag", tag);
+    send(response, Ok, nullptr);
 }
 
 } // namespace
--- a/tests/auto/restorablestore.h
+++ b/tests/standins/restorablestore.h
@@ -2,7 +2,9 @@
 
 #include "store/objectclient.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,8 +13,9 @@
 
 /// Content of a platform store that can go back to an older copy of itself.
 ///
-/// Keeps a copy after each write. A restore loses the writes since the copy and gives their
-/// revisions out again. Knows revisions as the platform does, by number. Not thread-safe.
+/// Keeps copies after each of the latest writes. A restore loses the writes since the copy and
+/// gives their revisions out again. Knows revisions as the platform does, by number. Not
+/// thread-safe.
 class RestorableStore
 {
 public:
@@ -29,6 +32,10 @@
         std::optional<std::string> value; ///< empty after a deletion
     };
 
+    explicit RestorableStore(Store::Timeline timeline = Store::Timeline(1))
+        : timeline_(timeline)
+    {}
+
     std::uint64_t revision() const { return state_.revision; }
     Store::Timeline timeline() const { return timeline_; }
 
@@ -70,6 +77,8 @@
             state_.objects.erase(key);
         state_.events.push_back({state_.revision, key, std::move(value)});
         copies_.push_back(state_);
+        if (copies_.size() > MaxCopies)
+            copies_.pop_front();
         return state_.revision;
     }
 
@@ -104,15 +113,17 @@
     }
 
 private:
+    static constexpr std::size_t MaxCopies = 64;
+
     struct State
     {
-        std::uint64_t revision = 1;
+        std::uint64_t revision = 0;
         std::uint64_t historyStart = 0;
         std::map<std::string, Entry> objects;
         std::vector<Event> events;
     };
 
     State state_;
-    std::vector<State> copies_{State{}};
-    Store::Timeline timeline_{1};
+    std::deque<State> copies_{State{}};
+    Store::Timeline timeline_;
 };
