--- a/src/libs/control/configurationsynchronizer.h
+++ b/src/libs/control/configurationsynchronizer.h
@@ -100,10 +100,11 @@
 private:
     std::chrono::milliseconds list()
     {
+        const auto start = options_.clock();
         const auto listing = Store::attempt([this] { return client_.list(options_.prefix); });
         logTimeline();
         if (const auto *failure = std::get_if<Store::FailureKind>(&listing))
-            return onFailure(*failure);
+            return onFailure(*failure, start);
         const auto &content = std::get<Store::Listing>(listing);
         Observability::log(Observability::Level::Info, "store-listed",
                            {{"revision", content.revision.number()},
@@ -122,11 +123,12 @@
             Observability::log(Observability::Level::Info, "store-watch-resumed",
                                {{"after", watchStep.after.number()},
                                 {"timeline", std::uint64_t(watchStep.after.timeline())}});
+        const auto start = options_.clock();
         const auto changes = Store::attempt(
             [&] { return client_.watch(options_.prefix, watchStep.after, watchStep.wait); });
         logTimeline();
         if (const auto *failure = std::get_if<Store::FailureKind>(&changes))
-            return onFailure(*failure);
+            return onFailure(*failure, start);
         const auto &content = std::get<Store::Changes>(changes);
         for (const Store::Change &change : content.changes) {
             if (change.value)
@@ -166,12 +168,15 @@
             Observability::log(Observability::Level::Info, "store-reached");
     }
 
-    std::chrono::milliseconds onFailure(Store::FailureKind kind)
+    /// Processes a failure of a call that began at \a start.
+    std::chrono::milliseconds onFailure(Store::FailureKind kind,
+                                        std::chrono::steady_clock::time_point start)
     {
         if (lastCallSucceeded_.exchange(false) && !isStopping_)
             Observability::log(Observability::Level::Warning, "store-lost",
                                {{"cause", Store::failureText(kind)}});
-        policy_.onFailed(kind);
+        policy_.onFailed(
+            kind, std::chrono::duration_cast<std::chrono::milliseconds>(options_.clock() - start));
         return {};
     }
 
--- a/src/libs/control/platformwatcher.cpp
+++ b/src/libs/control/platformwatcher.cpp
@@ -123,9 +123,10 @@
 
 void PlatformWatcher::list()
 {
+    const auto start = std::chrono::steady_clock::now();
     const auto listing = attempt([this] { return client_.list(""); });
     if (const auto *failure = std::get_if<Store::FailureKind>(&listing))
-        return onFailure(*failure);
+        return onFailure(*failure, start);
     const auto &content = std::get<Store::Listing>(listing);
     log(Level::Info, "platform-listed",
         {{"revision", content.revision.number()},
@@ -137,9 +138,10 @@
 
 void PlatformWatcher::watch(const WatchPlatform &step)
 {
+    const auto start = std::chrono::steady_clock::now();
     const auto changes = attempt([&] { return client_.watch("", step.after, step.wait); });
     if (const auto *failure = std::get_if<Store::FailureKind>(&changes))
-        return onFailure(*failure);
+        return onFailure(*failure, start);
     const auto &content = std::get<Store::Changes>(changes);
     apply(content);
     policy_.onWatched(std::chrono::steady_clock::now(), content.revision, !content.changes.empty());
@@ -160,10 +162,12 @@
     pauseEnded_ = false;
 }
 
-void PlatformWatcher::onFailure(Store::FailureKind kind)
+void PlatformWatcher::onFailure(Store::FailureKind kind,
+                                std::chrono::steady_clock::time_point start)
 {
     log(Level::Warning, "platform-call-failed", {{"kind", Store::failureText(kind)}});
-    policy_.onFailed(kind);
+    const auto duration = std::chrono::steady_clock::now() - start;
+    policy_.onFailed(kind, std::chrono::duration_cast<std::chrono::milliseconds>(duration));
 }
 
 void PlatformWatcher::recordAnswer()
--- a/src/libs/control/platformwatcher.h
+++ b/src/libs/control/platformwatcher.h
@@ -59,7 +59,7 @@
     void watch(const WatchPlatform &step);
     void fetchPeerSnapshot(std::size_t index);
     void pause(std::chrono::milliseconds wait);
-    void onFailure(Store::FailureKind kind);
+    void onFailure(Store::FailureKind kind, std::chrono::steady_clock::time_point start);
     void recordAnswer();
 
     template<typename Update>
--- a/src/libs/control/watchpolicy.cpp
+++ b/src/libs/control/watchpolicy.cpp
@@ -1,8 +1,17 @@
 #include "control/watchpolicy.h"
 
+#include <algorithm>
+
 namespace Control {
 
 static constexpr std::chrono::milliseconds FirstPause{200};
+static constexpr std::chrono::milliseconds MinPause{100};
+
+/// Whether a call that failed for \a kind got a response that shows that the platform works.
+static bool isAnswered(Store::FailureKind kind)
+{
+    return kind == Store::FailureKind::TooOld || kind == Store::FailureKind::OtherTimeline;
+}
 
 WatchPolicy::WatchPolicy(std::size_t peerCount, std::uint64_t seed,
                          std::chrono::milliseconds coalescingDelay)
@@ -66,12 +75,16 @@
     lastChange_ = now;
 }
 
-void WatchPolicy::onFailed(Store::FailureKind kind)
+void WatchPolicy::onFailed(Store::FailureKind kind, std::chrono::milliseconds duration)
 {
     lastCallSucceeded_ = false;
-    const bool mustList = !hasListed_ || kind == Store::FailureKind::TooOld
-                          || kind == Store::FailureKind::OtherTimeline;
-    pauseBefore(mustList ? State::Listing : State::Resuming, backoff_.onFailure());
+    if (isAnswered(kind)) {
+        backoff_.onSuccess();
+        duration = {};
+    }
+    const bool mustList = !hasListed_ || isAnswered(kind);
+    pauseBefore(mustList ? State::Listing : State::Resuming,
+                std::max(MinPause, backoff_.onFailure() - duration));
     if (peerCount_ > 0)
         state_ = State::FetchingPeerSnapshot;
 }
--- a/src/libs/control/watchpolicy.h
+++ b/src/libs/control/watchpolicy.h
@@ -14,8 +14,9 @@
 /// Time for which the platform holds a watch without changes before it responds.
 constexpr std::chrono::seconds WatchTimeout{25};
 
-/// Maximum pause between calls to a platform that is down.
-constexpr std::chrono::milliseconds MaxPlatformBackoff{4000};
+/// Maximum time between the starts of two calls to a platform that is down. A configuration must be
+/// in force 3 s after the platform is back.
+constexpr std::chrono::milliseconds MaxPlatformBackoff{2000};
 
 /// Step: list all objects of the platform.
 struct ListPlatform
@@ -76,8 +77,8 @@
     /// a listing.
     void onWatched(TimePoint now, Store::Revision revision, bool hasChanges);
 
-    /// Records that a call to the platform failed.
-    void onFailed(Store::FailureKind kind);
+    /// Records that a call to the platform failed after \a duration.
+    void onFailed(Store::FailureKind kind, std::chrono::milliseconds duration);
 
     /// Whether the last call to the platform succeeded.
     bool lastCallSucceeded() const { return lastCallSucceeded_; }
--- a/tests/auto/control/tst_watchpolicy.cpp
+++ b/tests/auto/control/tst_watchpolicy.cpp
@@ -17,7 +17,7 @@
     policy.next();
     policy.onListed(Revision(7));
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
-    policy.onFailed(FailureKind::OutcomeUnknown);
+    policy.onFailed(FailureKind::OutcomeUnknown, 0ms);
     CHECK_TRUE(std::holds_alternative<WaitFor>(policy.next()));
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == ResumeTimeout);
     policy.onWatched(start, Revision(8), true);
@@ -36,7 +36,7 @@
     policy.onWatched(start, Revision(9, Store::Timeline(2)), false);
     CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
     policy.onListed(Revision(9, Store::Timeline(2)));
-    policy.onFailed(FailureKind::OtherTimeline);
+    policy.onFailed(FailureKind::OtherTimeline, 0ms);
     CHECK_TRUE(std::holds_alternative<WaitFor>(policy.next()));
     CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
 }
@@ -60,6 +60,31 @@
     CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
 }
 
+TEST(WatchPolicy, ListsSoonAfterAResponseThatEndsALongOutage)
+{
+    WatchPolicy policy(0, 1);
+    policy.next();
+    policy.onListed(Revision(7));
+    for (int call = 0; call < 20; ++call) {
+        policy.onFailed(FailureKind::Unreachable, 0ms);
+        CHECK_TRUE(std::get<WaitFor>(policy.next()).duration <= MaxPlatformBackoff);
+        policy.next();
+    }
+    policy.onFailed(FailureKind::TooOld, 0ms);
+    CHECK_TRUE(std::get<WaitFor>(policy.next()).duration <= 200ms);
+    CHECK_TRUE(std::holds_alternative<ListPlatform>(policy.next()));
+}
+
+TEST(WatchPolicy, PauseIsShorterAfterACallThatTimedOut)
+{
+    WatchPolicy policy(0, 1);
+    for (int call = 0; call < 20; ++call) {
+        policy.onFailed(FailureKind::OutcomeUnknown, 1500ms);
+        CHECK_TRUE(std::get<WaitFor>(policy.next()).duration <= MaxPlatformBackoff - 1500ms);
+        policy.next();
+    }
+}
+
 TEST(WatchPolicy, MakesAtMostOneCallPerSecondDuringAnOutage)
 {
     checkProperty("a process makes at most one call a second to a platform that is down", [] {
@@ -74,7 +99,7 @@
                 elapsed += pause->duration;
             } else if (!std::holds_alternative<FetchPeerSnapshot>(step)) {
                 ++calls;
-                policy.onFailed(FailureKind::Unreachable);
+                policy.onFailed(FailureKind::Unreachable, 0ms);
             }
         }
         RC_ASSERT(calls <= std::uint64_t(std::chrono::seconds(duration).count()));
