--- a/src/libs/control/configurationsynchronizer.h
+++ b/src/libs/control/configurationsynchronizer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/checkedjson.h"
 #include "configuration/generationgate.h"
 #include "control/watchpolicy.h"
 #include "observability/log.h"
@@ -8,7 +9,6 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
-#include <optional>
 #include <string>
 
 namespace Control {
@@ -32,8 +32,8 @@
         /// Returns the time.
         std::function<std::chrono::steady_clock::time_point()> clock =
             std::chrono::steady_clock::now;
-        /// Parses an object's value; returns nothing if it is malformed. Called by step().
-        std::function<std::optional<Model::Configuration>(const std::string &)> decode;
+        /// Parses an object's value; fails with Configuration::FileError. Called by step().
+        std::function<boost::leaf::result<Model::Configuration>(const std::string &)> decode;
         /// Called by step() and offer(), with a lock held: must not call back into this object.
         std::function<void(const Model::Configuration &)> changed;
     };
@@ -143,11 +143,20 @@
     {
         if (key != options_.key)
             return;
-        if (const auto configuration = options_.decode(value))
-            offer(*configuration, "store");
-        else
-            Observability::log(Observability::Level::Error, "configuration-unreadable",
-                               {{"key", key}, {"bytes", value.size()}});
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_AUTO(configuration, options_.decode(value));
+                offer(configuration, "store");
+                return {};
+            },
+            [](const Configuration::FileError &error) {
+                Observability::log(Observability::Level::Error, "configuration-unreadable",
+                                   {{"error", Configuration::errorText(error)}});
+            },
+            [&key] {
+                Observability::log(Observability::Level::Error, "configuration-unreadable",
+                                   {{"error", key}});
+            });
     }
 
     /// Logs if the last response was the first one on its timeline.
--- a/tests/auto/platform_adapter/tst_operatorconfiguration.cpp
+++ b/tests/auto/platform_adapter/tst_operatorconfiguration.cpp
@@ -1,7 +1,11 @@
 #include "platform/operatorconfiguration.h"
 
+#include "configuration/checkedjson.h"
+
 #include "property.h"
 
+#include <boost/leaf/handle_errors.hpp>
+
 using Platform::readOperatorConfiguration;
 
 static const char *const published = R"({"version":7,"routes":[
@@ -17,7 +21,7 @@
 TEST(OperatorConfiguration, ParsesThePublishedExample)
 {
     const auto configuration = readOperatorConfiguration(published);
-    CHECK_TRUE(configuration.has_value());
+    CHECK_TRUE(bool(configuration));
     CHECK_TRUE(configuration->generation == Model::Generation(7));
     LONGS_EQUAL(2, configuration->services.size());
     LONGS_EQUAL(2, configuration->routes.size());
@@ -28,12 +32,36 @@
     LONGS_EQUAL(15000, configuration->idleFlowTimeout.count());
 }
 
+/// Returns where readOperatorConfiguration() found a problem; "none" if it accepted \a value.
+static std::string problemIn(const std::string &value)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::string> {
+            BOOST_LEAF_CHECK(readOperatorConfiguration(value));
+            return std::string("none");
+        },
+        [](const Configuration::FileError &error) { return error.key; },
+        [] { return std::string("unknown"); });
+}
+
+TEST(OperatorConfiguration, ConfigurationWithOneMalformedRouteIsNotTakenInPart)
+{
+    const auto replaced = [](std::string from, const std::string &to) {
+        std::string value = published;
+        return value.replace(value.rfind(from), from.size(), to);
+    };
+    STRCMP_EQUAL("none", problemIn(published).c_str());
+    STRCMP_EQUAL("/routes/1/host", problemIn(replaced("198.18.0.2", "198.18.0")).c_str());
+    STRCMP_EQUAL("/routes/1/path_prefix", problemIn(replaced("/8443/", "/84430/")).c_str());
+    STRCMP_EQUAL("/routes/1", problemIn(replaced("\"service\":\"wuno96b\",", "")).c_str());
+}
+
 TEST(OperatorConfiguration, AnyValueIsParsedOrRejected)
 {
-    CHECK_FALSE(readOperatorConfiguration("null").has_value());
-    CHECK_FALSE(readOperatorConfiguration(R"({"version":"x"})").has_value());
+    STRCMP_EQUAL("", problemIn("null").c_str());
+    STRCMP_EQUAL("", problemIn(R"({"version":"x"})").c_str());
     checkProperty("any value is parsed or rejected", [](const std::string &value) {
         generatedSteps += 10;
-        readOperatorConfiguration(value);
+        problemIn(value);
     });
 }
