--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -99,18 +99,18 @@
         [] { log(Level::Error, "peer-configuration-refused"); });
 }
 
-/// Makes the next call for the member directory, if one is due: a read after the start, or a write
-/// if this balancer is responsible for the directory.
-static void updateDirectory(Traffic &traffic, Directory &directory)
+/// Makes the next call for the member directory, if one is due: a read after the start, or a read
+/// or write if this balancer is responsible for the directory. \a timeline is the store's.
+static void updateDirectory(Traffic &traffic, Directory &directory, Store::Timeline timeline)
 {
     const auto [members, isResponsible] =
         traffic.withCore([](const Forwarding::BalancerCore &core) {
             return std::pair(core.roster().members(), core.roster().isFirstBalancer());
         });
     const auto now = std::chrono::steady_clock::now();
-    if (const auto read = directory.step(now, isResponsible, members); !read.empty()) {
+    if (const auto read = directory.step(now, isResponsible, members, timeline)) {
         traffic.withCore([&](Forwarding::BalancerCore &core) {
-            core.setLastKnownMembers(std::chrono::steady_clock::now(), read);
+            core.setLastKnownMembers(std::chrono::steady_clock::now(), read->members);
         });
     }
 }
@@ -156,7 +156,7 @@
         {{"role", "forwarding-balancer"}, {"name", process.name}, {"seeds", process.seeds.size()}});
 
     if (!process.isFirstStart)
-        updateDirectory(traffic, directory);
+        updateDirectory(traffic, directory, store.timeline());
     runUntilStopped<Configuration::ForwardingBalancerSettings>(
         file, ControlInterval,
         [&traffic](const auto &changed) {
@@ -166,7 +166,7 @@
         },
         [&] {
             fetchNewerConfiguration(traffic, follower);
-            updateDirectory(traffic, directory);
+            updateDirectory(traffic, directory, store.timeline());
         });
     log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
     isStopping = true;
--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -4,7 +4,10 @@
 #include "observability/log.h"
 #include "store/attempt.h"
 
+#include <algorithm>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Control {
@@ -23,44 +26,45 @@
     {}
 
     /// Makes the call that is due at \a now, if any. \a isResponsible is whether this process
-    /// writes the directory, \a members what it should contain. Returns the members that were
-    /// read; empty if none were. Not thread-safe.
-    std::vector<Membership::DirectoryEntry> step(std::chrono::steady_clock::time_point now,
-                                                 bool isResponsible,
-                                                 const std::vector<Tunnel::Member> &members)
+    /// writes the directory, \a members what it should contain, and \a timeline the latest timeline
+    /// of the store that this process knows. Returns the directory when it is first read. Not
+    /// thread-safe.
+    std::optional<Membership::Directory> step(std::chrono::steady_clock::time_point now,
+                                              bool isResponsible,
+                                              const std::vector<Tunnel::Member> &members,
+                                              Store::Timeline timeline)
     {
-        const std::string encoded = Membership::encodeDirectory(members);
-        switch (policy_.next(now, isResponsible, encoded)) {
+        const Store::Timeline latest = std::max(timeline, client_.timeline());
+        const std::string encoded = Membership::encodeDirectory(members, latest);
+        switch (policy_.next(now, isResponsible, encoded, latest)) {
         case Membership::DirectoryStep::Wait:
-            return {};
+            return std::nullopt;
         case Membership::DirectoryStep::Write:
             write(now, encoded, members.size());
-            return {};
+            return std::nullopt;
         case Membership::DirectoryStep::Read:
             return read(now);
         }
-        return {};
+        return std::nullopt;
     }
 
 private:
-    std::vector<Membership::DirectoryEntry> read(std::chrono::steady_clock::time_point now)
+    std::optional<Membership::Directory> read(std::chrono::steady_clock::time_point now)
     {
         const auto found = Store::attempt([this] { return client_.read(key_); });
-        if (const auto *object = std::get_if<Store::Object>(&found)) {
-            version_ = object->version;
-            policy_.onRead(object->value);
-            auto members = Membership::decodeDirectory(object->value);
-            log("directory-read", object->version, members.size());
-            return members;
-        }
-        if (std::get<Store::FailureKind>(found) == Store::FailureKind::NotFound) {
-            version_.reset();
-            policy_.onRead(std::nullopt);
-            log("directory-read", {}, 0);
-        } else {
+        const auto *const object = std::get_if<Store::Object>(&found);
+        if (!object && std::get<Store::FailureKind>(found) != Store::FailureKind::NotFound) {
             onFailure(now, "read", std::get<Store::FailureKind>(found));
+            return std::nullopt;
         }
-        return {};
+        version_ = object ? std::optional(object->version) : std::nullopt;
+        policy_.onRead(object ? std::optional(object->value) : std::nullopt, client_.timeline());
+        auto directory =
+            object ? Membership::decodeDirectory(object->value) : Membership::Directory();
+        log("directory-read", version_.value_or(Store::Version()), directory.members.size());
+        if (!object || std::exchange(wasReturned_, true))
+            return std::nullopt;
+        return directory;
     }
 
     void write(std::chrono::steady_clock::time_point now, const std::string &encoded,
@@ -86,7 +90,7 @@
         Observability::log(Observability::Level::Info, event,
                            {{"members", members},
                             {"revision", version.number()},
-                            {"timeline", std::uint64_t(version.timeline())}});
+                            {"timeline", std::uint64_t(client_.timeline())}});
     }
 
     void onFailure(std::chrono::steady_clock::time_point now, const char *call,
@@ -101,6 +105,7 @@
     std::string key_;
     Membership::DirectoryPolicy policy_;
     std::optional<Store::Version> version_;
+    bool wasReturned_ = false;
 };
 
 } // namespace Control
--- a/src/libs/membership/directory.cpp
+++ b/src/libs/membership/directory.cpp
@@ -6,7 +6,7 @@
 
 using nlohmann::json;
 
-std::string encodeDirectory(const std::vector<Tunnel::Member> &members)
+std::string encodeDirectory(const std::vector<Tunnel::Member> &members, Store::Timeline timeline)
 {
     // Arrays without keys keep the directory of 9,300 members below the store's limit of 1 MB.
     json entries = json::object();
@@ -14,8 +14,8 @@
         entries[instance.name] = {Model::endpointText(instance.tunnel), instance.service,
                                   std::uint64_t(instance.incarnation)};
     // Names come from datagrams and may not be valid UTF-8.
-    return json{{"members", std::move(entries)}}.dump(-1, ' ', false,
-                                                      json::error_handler_t::replace);
+    return json{{"timeline", std::uint64_t(timeline)}, {"members", std::move(entries)}}.dump(
+        -1, ' ', false, json::error_handler_t::replace);
 }
 
 static std::optional<DirectoryEntry> decodeEntry(const std::string &name, const json &entry)
@@ -30,20 +30,24 @@
                           Model::Incarnation(entry[2].get<std::uint64_t>())};
 }
 
-std::vector<DirectoryEntry> decodeDirectory(const std::string &value)
+Directory decodeDirectory(const std::string &value)
 {
-    std::vector<DirectoryEntry> members;
-    const json directory = json::parse(value, nullptr, false);
-    if (!directory.is_object() || !directory.contains("members"))
-        return members;
-    for (const auto &[name, entry] : directory["members"].items()) {
+    Directory directory;
+    const json content = json::parse(value, nullptr, false);
+    if (!content.is_object() || !content.contains("members"))
+        return directory;
+    if (const auto timeline = content.find("timeline");
+        timeline != content.end() && timeline->is_number_unsigned())
+        directory.timeline = Store::Timeline(timeline->get<std::uint64_t>());
+    for (const auto &[name, entry] : content["members"].items()) {
         if (auto member = decodeEntry(name, entry))
-            members.push_back(std::move(*member));
+            directory.members.push_back(std::move(*member));
     }
-    return members;
+    return directory;
 }
 
-DirectoryStep DirectoryPolicy::next(TimePoint now, bool isResponsible, const std::string &encoded)
+DirectoryStep DirectoryPolicy::next(TimePoint now, bool isResponsible, const std::string &encoded,
+                                    Store::Timeline timeline)
 {
     if (encoded == stored_)
         changedSince_.reset();
@@ -51,15 +55,18 @@
         changedSince_ = now;
     if (now < waitUntil_)
         return DirectoryStep::Wait;
-    if (!hasRead_)
+    if (!hasRead_ || (isResponsible && timeline_ != timeline))
         return DirectoryStep::Read;
-    const bool isDue = changedSince_ && now - *changedSince_ >= DirectoryWriteDelay;
+    const bool isDue =
+        changedSince_ && (wasRestored_ || now - *changedSince_ >= DirectoryWriteDelay);
     return isResponsible && isDue ? DirectoryStep::Write : DirectoryStep::Wait;
 }
 
-void DirectoryPolicy::onRead(const std::optional<std::string> &value)
+void DirectoryPolicy::onRead(const std::optional<std::string> &value, Store::Timeline timeline)
 {
     hasRead_ = true;
+    wasRestored_ |= timeline_ && timeline_ != timeline;
+    timeline_ = timeline;
     stored_ = value.value_or(std::string());
 }
 
@@ -67,6 +74,7 @@
 {
     stored_ = value;
     changedSince_.reset();
+    wasRestored_ = false;
 }
 
 void DirectoryPolicy::onFailed(TimePoint now)
