--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -110,7 +110,8 @@
     const auto now = std::chrono::steady_clock::now();
     if (const auto read = directory.step(now, isResponsible, members, timeline)) {
         traffic.withCore([&](Forwarding::BalancerCore &core) {
-            core.setLastKnownMembers(std::chrono::steady_clock::now(), read->members);
+            core.setLastKnownMembers(std::chrono::steady_clock::now(), read->members,
+                                     read->isComplete);
         });
     }
 }
--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -12,6 +12,13 @@
 
 namespace Control {
 
+/// The members that ran before this process started.
+struct LastKnownMembers
+{
+    std::vector<Membership::DirectoryEntry> members;
+    bool isComplete = false; ///< the store was not restored since it acknowledged them
+};
+
 /// Reads and writes the directory of members in a store, with blocking calls on the caller's
 /// thread.
 template<Store::ObjectClient Client>
@@ -27,12 +34,12 @@
 
     /// Makes the call that is due at \a now, if any. \a isResponsible is whether this process
     /// writes the directory, \a members what it should contain, and \a timeline the latest timeline
-    /// of the store that this process knows. Returns the directory when it is first read. Not
+    /// of the store that this process knows. Returns the members when they are first read. Not
     /// thread-safe.
-    std::optional<Membership::Directory> step(std::chrono::steady_clock::time_point now,
-                                              bool isResponsible,
-                                              const std::vector<Tunnel::Member> &members,
-                                              Store::Timeline timeline)
+    std::optional<LastKnownMembers> step(std::chrono::steady_clock::time_point now,
+                                         bool isResponsible,
+                                         const std::vector<Tunnel::Member> &members,
+                                         Store::Timeline timeline)
     {
         const Store::Timeline latest = std::max(timeline, client_.timeline());
         const std::string encoded = Membership::encodeDirectory(members, latest);
@@ -49,7 +56,7 @@
     }
 
 private:
-    std::optional<Membership::Directory> read(std::chrono::steady_clock::time_point now)
+    std::optional<LastKnownMembers> read(std::chrono::steady_clock::time_point now)
     {
         const auto found = Store::attempt([this] { return client_.read(key_); });
         const auto *const object = std::get_if<Store::Object>(&found);
@@ -64,7 +71,8 @@
         log("directory-read", version_.value_or(Store::Version()), directory.members.size());
         if (!object || std::exchange(wasReturned_, true))
             return std::nullopt;
-        return directory;
+        const bool isComplete = directory.timeline == object->version.timeline();
+        return LastKnownMembers{std::move(directory.members), isComplete};
     }
 
     void write(std::chrono::steady_clock::time_point now, const std::string &encoded,
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -66,7 +66,8 @@
 }
 
 void BalancerCore::setLastKnownMembers(TimePoint now,
-                                       const std::vector<Membership::DirectoryEntry> &members)
+                                       const std::vector<Membership::DirectoryEntry> &members,
+                                       bool isComplete)
 {
     std::vector<Model::Endpoint> tunnels;
     std::vector<Membership::DirectoryEntry> others;
@@ -79,7 +80,7 @@
         others.push_back(member);
     }
     reportScheduler_.setLastKnownMembers(std::move(tunnels));
-    lostFlowSearch_.setDirectory(now, others);
+    lostFlowSearch_.setDirectory(now, others, isComplete);
 }
 
 std::vector<ResetFlow> BalancerCore::takeLostFlows(TimePoint now)
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -87,8 +87,10 @@
     }
 
     /// Sets the members that ran before this process started; see ReportScheduler and
-    /// LostFlowSearch.
-    void setLastKnownMembers(TimePoint now, const std::vector<Membership::DirectoryEntry> &members);
+    /// LostFlowSearch. \a isComplete is whether the store was not restored since it acknowledged
+    /// them.
+    void setLastKnownMembers(TimePoint now, const std::vector<Membership::DirectoryEntry> &members,
+                             bool isComplete);
 
     /// Returns the resets for the callers whose flows were lost when the whole system restarted,
     /// and clears them.
--- a/src/libs/forwarding/lostflowsearch.cpp
+++ b/src/libs/forwarding/lostflowsearch.cpp
@@ -16,9 +16,11 @@
 }
 
 void LostFlowSearch::setDirectory(TimePoint now,
-                                  const std::vector<Membership::DirectoryEntry> &directory)
+                                  const std::vector<Membership::DirectoryEntry> &directory,
+                                  bool isComplete)
 {
     directoryRead_ = now;
+    isDirectoryComplete_ = isComplete;
     for (const auto &[name, tunnel, service, incarnation] : directory) {
         Member &member =
             memberOf(Model::instanceId(name), Model::serviceId(service), !service.empty());
@@ -125,7 +127,7 @@
 /// of this one within the interval of reports, unless it can't be reached.
 bool LostFlowSearch::isWholeRestart(TimePoint now) const
 {
-    if (!directoryRead_ || isSystemRunning_ || !isStarting(now))
+    if (!directoryRead_ || !isDirectoryComplete_ || isSystemRunning_ || !isStarting(now))
         return false;
     if (now - *directoryRead_ >= Membership::ReportInterval)
         return true;
--- a/src/libs/forwarding/lostflowsearch.h
+++ b/src/libs/forwarding/lostflowsearch.h
@@ -58,8 +58,10 @@
         : started_(started)
     {}
 
-    /// Sets the members that ran before this process started.
-    void setDirectory(TimePoint now, const std::vector<Membership::DirectoryEntry> &directory);
+    /// Sets the members that ran before this process started. Unless \a isComplete, further members
+    /// may have run: owners are searched for, but no flow counts as lost.
+    void setDirectory(TimePoint now, const std::vector<Membership::DirectoryEntry> &directory,
+                      bool isComplete);
 
     /// Records that the sender of \a report runs, and whether it started after the directory was
     /// written.
@@ -112,6 +114,7 @@
 
     TimePoint started_;
     std::optional<TimePoint> directoryRead_;
+    bool isDirectoryComplete_ = false;
     std::unordered_map<Model::InstanceId, Member> members_;
     std::unordered_map<Model::ServiceId, std::set<Model::InstanceId>> agents_; ///< by service
     std::unordered_map<Model::FlowKey, Search> searches_;
--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -13,6 +13,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Simulates the network, backend servers and callers around real BalancerCore and AgentCore
@@ -63,6 +64,7 @@
     Tunnel::Member self;
     Membership::DirectoryPolicy directoryPolicy;
     std::uint64_t directoryVersion = 0; ///< of the directory that it read or wrote last
+    bool knowsLastMembers = false;
 };
 
 /// The member directory as the store keeps it.
@@ -154,6 +156,7 @@
         node.self.instance.incarnation = Model::Incarnation(++incarnation_);
         node.core = std::make_unique<Forwarding::BalancerCore>(now_, node.self);
         node.directoryPolicy = {};
+        node.knowsLastMembers = false;
         node.core->setSeeds(seeds());
         node.core->setConfiguration(configuration_);
         updateDirectory(node);
@@ -217,21 +220,28 @@
         sendHeartbeat(index);
     }
 
-    /// Starts the processes that do not run, one every \a gap: balancers and agents in turn. The
-    /// backend server of each agent starts with it.
-    void restoreAll(std::chrono::milliseconds gap)
+    /// Starts the processes that do not run, except the agents in \a absent, one every \a gap:
+    /// balancers and agents in turn. The backend server of each agent starts with it.
+    void restoreAll(std::chrono::milliseconds gap, const std::set<std::size_t> &absent = {})
     {
         for (std::size_t index = 0; index < std::max(balancers_.size(), agents_.size()); ++index) {
             if (index < balancers_.size() && !balancers_[index].core)
                 startBalancer(index);
             if (index < agents_.size() && agents_[index].hasLostPower)
                 restoreAgent(index);
-            else if (index < agents_.size() && agents_[index].wasKilled)
+            else if (index < agents_.size() && agents_[index].wasKilled && !absent.contains(index))
                 startAgent(index);
             run(gap);
         }
     }
 
+    /// Restores the store from a copy of before the latest write to the directory.
+    void restoreStore()
+    {
+        directory_ = directoryCopy_;
+        timeline_ = Store::Timeline(std::uint64_t(timeline_) + 1);
+    }
+
     /// Starts the agent \a index, which was absent so far, and its backend server.
     void join(std::size_t index)
     {
@@ -345,6 +355,7 @@
 
     std::uint64_t misdelivered = 0; ///< packets that reached a backend server of another service
     std::uint64_t wrongResets = 0;  ///< resets of flows held by a running backend server
+    std::uint64_t heldResets = 0;   ///< resets of flows that a living backend server holds
     std::uint64_t resets = 0;
     double lossRate = 0;
 
@@ -417,19 +428,21 @@
     void updateDirectory(BalancerNode &node)
     {
         using Membership::DirectoryStep;
-        const std::string encoded = Membership::encodeDirectory(node.core->roster().members(), {});
-        const auto step =
-            node.directoryPolicy.next(now_, node.core->roster().isFirstBalancer(), encoded, {});
+        const std::string encoded =
+            Membership::encodeDirectory(node.core->roster().members(), timeline_);
+        const auto step = node.directoryPolicy.next(now_, node.core->roster().isFirstBalancer(),
+                                                    encoded, timeline_);
         if (step == DirectoryStep::Read) {
             const bool exists = directory_.version > 0;
             node.directoryPolicy.onRead(exists ? std::optional(directory_.value) : std::nullopt,
-                                        {});
+                                        timeline_);
             node.directoryVersion = directory_.version;
-            if (exists)
-                node.core->setLastKnownMembers(
-                    now_, Membership::decodeDirectory(directory_.value).members);
+            const auto directory = Membership::decodeDirectory(directory_.value);
+            if (exists && !std::exchange(node.knowsLastMembers, true))
+                node.core->setLastKnownMembers(now_, directory.members,
+                                               directory.timeline == timeline_);
         } else if (step == DirectoryStep::Write && node.directoryVersion == directory_.version) {
-            directory_ = {encoded, directory_.version + 1};
+            directoryCopy_ = std::exchange(directory_, {encoded, directory_.version + 1});
             node.directoryVersion = directory_.version;
             node.directoryPolicy.onWritten(encoded);
         } else if (step == DirectoryStep::Write) {
@@ -615,6 +628,7 @@
             const bool isAnnounced =
                 callers_[number].owner && !agents_[*callers_[number].owner].wasKilled;
             wrongResets += isHeld(number) && isAnnounced;
+            heldResets += isHeld(number);
             callers_[number].wasReset = true;
         }
     }
@@ -628,6 +642,8 @@
     std::map<Model::FlowKey, std::uint64_t> receivedPackets_;
     Model::Configuration configuration_;
     StoredDirectory directory_;
+    StoredDirectory directoryCopy_; ///< before the latest write
+    Store::Timeline timeline_{1};
     std::int64_t lastStartTimeMs_ = 100;
     std::uint64_t incarnation_ = 1;
     std::uint64_t random_ = 20261204;
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -115,7 +115,7 @@
     }
     // The seeds, the first two balancers, stay down.
     simulation.startBalancer(2);
-    simulation.balancer(2).setLastKnownMembers(simulation.now(), members);
+    simulation.balancer(2).setLastKnownMembers(simulation.now(), members, true);
     simulation.run(100ms);
     const auto caller = simulation.open(2);
     simulation.run(100ms);
@@ -216,6 +216,30 @@
     LONGS_EQUAL(0, simulation.wrongResets);
 }
 
+TEST(Fleet, FlowsOfAnInstanceThatARestoreRemovedFromTheDirectoryAreNotReset)
+{
+    Simulation simulation(3, 6, "", 1);
+    simulation.run(1500ms);
+    simulation.join(5);
+    simulation.run(3000ms);
+    openFlows(simulation, 100);
+    CHECK_TRUE(simulation.agent(5).core->status(simulation.now()).openFlows > 0);
+    simulation.losePower({5});
+    simulation.stopAgent(5, false);
+    simulation.restoreStore();
+    simulation.run(300ms);
+    // The agent of the instance that kept its flows returns after all others.
+    simulation.restoreAll(0ms, {5});
+    for (int step = 0; step < 20; ++step) {
+        for (std::size_t number = 0; number < 100; ++number)
+            simulation.sendData(number, number % 3);
+        simulation.run(100ms);
+        if (step == 7)
+            simulation.startAgent(5);
+    }
+    LONGS_EQUAL(0, simulation.heldResets);
+}
+
 TEST(Fleet, FlowsAreNotResetWhileTheirAgentRestarts)
 {
     Simulation simulation(2, 4);
@@ -480,7 +504,10 @@
                     simulation.replaceBackend(what % 5, what % 2 == 0);
                     break;
                 case 6:
-                    simulation.lossRate = what % 2 == 0 ? 0 : 0.05;
+                    if (what % 4 == 3)
+                        simulation.restoreStore();
+                    else
+                        simulation.lossRate = what % 2 == 0 ? 0 : 0.05;
                     break;
                 case 7:
                     simulation.losePower(what % 3 == 0 ? std::set<std::size_t>{5}
--- a/tests/auto/forwarding/tst_lostflowsearch.cpp
+++ b/tests/auto/forwarding/tst_lostflowsearch.cpp
@@ -45,7 +45,7 @@
 static LostFlowSearch startedSearch()
 {
     LostFlowSearch search(start);
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     search.onReport(start, reportOf("front-2", ""));
     for (const char *agent : {"side-1", "side-2"})
         search.onReport(start, reportOf(agent, "order-desk"));
@@ -86,7 +86,7 @@
 TEST(LostFlowSearch, WaitsForAgentsThatDidNotReturn)
 {
     LostFlowSearch search(start);
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     search.onReport(start, reportOf("front-2", ""));
     search.onReport(start, reportOf("side-1", "order-desk"));
     search.search(start, flow, {desk});
@@ -118,7 +118,7 @@
     search.onReport(start, reportOf("side-3", "yard-ticket", Before));
     search.onReport(start, reportOf("side-1", "order-desk"));
     search.onReport(start, reportOf("side-2", "order-desk"));
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     search.search(start, flow, {desk});
     LONGS_EQUAL(0, search.size());
 }
@@ -126,7 +126,7 @@
 TEST(LostFlowSearch, WaitsOneReportIntervalForAListedBalancer)
 {
     LostFlowSearch search(start);
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     for (const char *agent : {"side-1", "side-2"})
         search.onReport(start, reportOf(agent, "order-desk"));
     search.search(start, flow, {desk});
@@ -142,7 +142,7 @@
     search.onReport(start, reportOf("side-1", "order-desk"));
     search.search(start, flow, {desk});
     LONGS_EQUAL(0, search.size());
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     search.search(start, flow, {Model::serviceId("other")});
     LONGS_EQUAL(0, search.size());
 }
@@ -150,7 +150,7 @@
 TEST(LostFlowSearch, LeavesLargeServicesToTheAgents)
 {
     LostFlowSearch search(start);
-    search.setDirectory(start, directory());
+    search.setDirectory(start, directory(), true);
     for (std::size_t agent = 0; agent < MaxSearchedAgents - 2; ++agent)
         search.onReport(start, reportOf("large-" + std::to_string(agent), "order-desk"));
     CHECK_TRUE(search.search(start, flow, {desk}));
