--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -97,14 +97,17 @@
            > 0;
 }
 
-bool ClusterView::expireNotices(TimePoint now)
+bool ClusterView::expire(TimePoint now)
 {
-    const auto removed = std::erase_if(notices_, [now](const auto &entry) {
-        return now - entry.second.since >= StateNoticeLifetime;
-    });
-    if (removed > 0)
+    bool changed = registry_.expireMissing(now);
+    changed |= std::erase_if(notices_,
+                             [now](const auto &entry) {
+                                 return now - entry.second.since >= StateNoticeLifetime;
+                             })
+               > 0;
+    if (changed)
         rebuild();
-    return removed > 0;
+    return changed;
 }
 
 std::vector<Model::Instance> ClusterView::instancesWithNotices() const
--- a/src/libs/control/clusterview.h
+++ b/src/libs/control/clusterview.h
@@ -39,8 +39,9 @@
     /// now. Returns whether anything changed.
     bool apply(TimePoint now, const Tunnel::StateNotice &notice);
 
-    /// Drops notices that expired by \a now. Returns whether anything changed.
-    bool expireNotices(TimePoint now);
+    /// Drops notices that expired by \a now, and instances whose announcements the platform lost
+    /// and that did not announce themselves again in time. Returns whether anything changed.
+    bool expire(TimePoint now);
 
     /// Returns the routing table as of the last change. Never null; the table is immutable and may
     /// be shared with other threads.
--- a/src/libs/control/platformwatcher.cpp
+++ b/src/libs/control/platformwatcher.cpp
@@ -113,7 +113,7 @@
         noticeAdded_.wait_for(lock, NoticeCheckInterval,
                               [this] { return stopping_ || !notices_.empty(); });
         const auto now = std::chrono::steady_clock::now();
-        bool changed = view_.expireNotices(now);
+        bool changed = view_.expire(now);
         for (; !notices_.empty(); notices_.pop_front())
             changed |= view_.apply(now, notices_.front());
         if (changed)
--- a/src/libs/membership/instanceregistry.cpp
+++ b/src/libs/membership/instanceregistry.cpp
@@ -22,7 +22,7 @@
         }
     }
     const bool changed = entry.instance != instance;
-    entry = {version, std::move(instance)};
+    entry = {version, std::move(instance), false, {}};
     return changed;
 }
 
@@ -47,7 +47,26 @@
         const bool isNewer = entry.version > listing.revision;
         if (listed.contains(key) || isNewer || !entry.instance)
             continue;
-        entry.instance.reset();
+        entry.isMissing |= entry.version.timeline() != listing.revision.timeline();
+        entry.version = listing.revision;
+        if (!entry.isMissing)
+            entry.instance.reset();
+        changed = true;
+    }
+    return changed;
+}
+
+bool InstanceRegistry::expireMissing(TimePoint now)
+{
+    bool changed = false;
+    for (auto &[key, entry] : entries_) {
+        if (!entry.isMissing)
+            continue;
+        if (!entry.missingSince)
+            entry.missingSince = now;
+        if (now - *entry.missingSince < MissingLifetime)
+            continue;
+        entry = {entry.version, std::nullopt, false, {}};
         changed = true;
     }
     return changed;
@@ -66,7 +85,9 @@
 std::optional<Model::Instance> InstanceRegistry::find(const std::string &name) const
 {
     const auto entry = entries_.find(instanceKey(name));
-    return entry == entries_.end() ? std::nullopt : entry->second.instance;
+    if (entry == entries_.end() || entry->second.isMissing)
+        return std::nullopt;
+    return entry->second.instance;
 }
 
 Store::Version InstanceRegistry::versionOf(const std::string &name) const
--- a/src/libs/membership/instanceregistry.h
+++ b/src/libs/membership/instanceregistry.h
@@ -3,6 +3,7 @@
 #include "model/identity.h"
 #include "store/objectclient.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -10,27 +11,39 @@
 
 namespace Membership {
 
+/// Time for which an instance remains whose announcement the platform lost in a restore.
+constexpr std::chrono::seconds MissingLifetime{2};
+
 /// The announced instances, as read from the platform.
 ///
-/// The version of a key only increases, so that a stale read changes nothing. Not thread-safe.
+/// The version of a key only increases, so that a stale read changes nothing. A platform that was
+/// restored from an older copy may lack the announcements of instances that run: these remain for
+/// MissingLifetime, so that the instances can announce themselves again. Not thread-safe.
 class InstanceRegistry
 {
 public:
     /// Applies one change that the platform reported. Returns whether the set of instances changed.
     bool apply(const Store::Change &change);
 
+    using TimePoint = std::chrono::steady_clock::time_point;
+
     /// Applies a complete listing. An instance that it does not contain is removed, unless its
-    /// version is newer than the listing's revision. Returns whether the set of instances changed.
+    /// version is newer than the listing's revision; if the platform was restored since that
+    /// version, it is missing. Returns whether the set of instances changed.
     bool apply(const Store::Listing &listing);
 
-    /// Returns the announced instances, ordered by name.
+    /// Removes the instances that have been missing for MissingLifetime at \a now. Returns whether
+    /// there were any.
+    bool expireMissing(TimePoint now);
+
+    /// Returns the announced instances, including missing ones, ordered by name.
     std::vector<Model::Instance> instances() const;
 
-    /// Returns the instance called \a name, if it is announced.
+    /// Returns the instance called \a name, if it is announced and not missing.
     std::optional<Model::Instance> find(const std::string &name) const;
 
-    /// Returns the latest known version of the announcement of \a name, also if it was deleted; 0
-    /// if there was none.
+    /// Returns the latest known version of the announcement of \a name; if it was deleted or is
+    /// missing, the latest revision at which that was known; 0 if there was none.
     Store::Version versionOf(const std::string &name) const;
 
     /// Returns the number of announcements since the start that could not be parsed.
@@ -41,6 +54,8 @@
     {
         Store::Version version{};
         std::optional<Model::Instance> instance; ///< empty after a deletion
+        bool isMissing = false;                  ///< the platform lost the announcement
+        std::optional<TimePoint> missingSince;   ///< first call of expireMissing() after that
     };
 
     bool set(const std::string &key, Store::Version version,
--- a/src/libs/operations/acceptance.h
+++ b/src/libs/operations/acceptance.h
@@ -35,6 +35,20 @@
 /// Returns the configuration in \a object; nothing if it can't be parsed. Thread-safe.
 std::optional<Model::Configuration> configurationOf(const Store::Object &object);
 
+/// Number of generations for each timeline of the platform.
+constexpr std::uint64_t GenerationsPerTimeline = std::uint64_t(1) << 40;
+
+/// Returns the generation of a configuration that replaces one of the generation \a before on
+/// \a timeline.
+///
+/// A platform that was restored from an older copy may lack configurations that are in force. The
+/// first generation of a timeline is therefore greater than all of the earlier ones. Thread-safe.
+inline Model::Generation generationAfter(Model::Generation before, Store::Timeline timeline)
+{
+    const std::uint64_t first = std::uint64_t(timeline) * GenerationsPerTimeline;
+    return Model::Generation(std::max(std::uint64_t(before) + 1, first));
+}
+
 /// Stores \a candidate on the platform with the generation after the current one.
 ///
 /// \a expected is the generation that the operator's decision is based on, if any: if another one
@@ -63,7 +77,7 @@
     if (expected && *expected != before.generation)
         return {AcceptanceOutcome::Conflict, {}};
 
-    candidate.generation = Model::Generation(std::uint64_t(before.generation) + 1);
+    candidate.generation = generationAfter(before.generation, client.timeline());
     candidate.recentChanges = before.recentChanges;
     candidate.recentChanges.insert(candidate.recentChanges.begin(), changeId);
     if (candidate.recentChanges.size() > MaxRecentChanges)
--- a/tests/auto/control/tst_clusterview.cpp
+++ b/tests/auto/control/tst_clusterview.cpp
@@ -90,8 +90,8 @@
     view.apply(Store::Changes{Store::Revision(3), {announcementOf(InstanceState::Ready, 3)}});
     CHECK_TRUE(stateIn(view) == InstanceState::Ready);
     view.apply(now, suspect);
-    CHECK_FALSE(view.expireNotices(now + StateNoticeLifetime / 2));
-    CHECK_TRUE(view.expireNotices(now + StateNoticeLifetime));
+    CHECK_FALSE(view.expire(now + StateNoticeLifetime / 2));
+    CHECK_TRUE(view.expire(now + StateNoticeLifetime));
     CHECK_TRUE(stateIn(view) == InstanceState::Ready);
 }
 
--- a/tests/auto/membership/tst_instanceregistry.cpp
+++ b/tests/auto/membership/tst_instanceregistry.cpp
@@ -139,3 +139,36 @@
     CHECK_TRUE(registry.find("agent-1") == instance);
     CHECK_EQUAL(1u, registry.malformedCount());
 }
+
+TEST(InstanceRegistry, InstanceRemainsWhileItAnnouncesItselfAgainAfterARestore)
+{
+    using namespace std::chrono_literals;
+    const InstanceRegistry::TimePoint now{1h};
+    constexpr Store::Timeline first{1};
+    constexpr Store::Timeline second{2};
+    Model::Instance instance;
+    instance.name = "agent-1";
+    instance.service = "order-desk";
+    instance.failureDomain = "harbour";
+    instance.tunnel = {0x7f000001, 1};
+    instance.peer = {0x7f000001, 2};
+    instance.incarnation = Model::Incarnation(1);
+    const std::string key = instanceKey("agent-1");
+    InstanceRegistry registry;
+    registry.apply(Store::Change{key, Store::Version(90, first), encodeAnnouncement(instance)});
+    CHECK_TRUE(registry.apply(Store::Listing{Store::Revision(40, second), {}}));
+    // The instance's own process learns that its announcement is gone.
+    CHECK_FALSE(registry.find("agent-1").has_value());
+    CHECK_TRUE(registry.versionOf("agent-1") == Store::Version(40, second));
+    CHECK_FALSE(registry.expireMissing(now));
+    LONGS_EQUAL(1, registry.instances().size());
+    registry.apply(Store::Change{key, Store::Version(41, second), encodeAnnouncement(instance)});
+    CHECK_TRUE(registry.find("agent-1").has_value());
+    CHECK_FALSE(registry.expireMissing(now + MissingLifetime));
+
+    registry.apply(Store::Listing{Store::Revision(30, Store::Timeline(3)), {}});
+    registry.expireMissing(now);
+    LONGS_EQUAL(1, registry.instances().size());
+    CHECK_TRUE(registry.expireMissing(now + MissingLifetime));
+    LONGS_EQUAL(0, registry.instances().size());
+}
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -68,7 +68,7 @@
     {
         return Store::Changes{};
     }
-    Store::Timeline timeline() const { return {}; }
+    Store::Timeline timeline() const { return timeline_; }
 
     void writeConcurrently()
     {
@@ -86,6 +86,7 @@
         history_.push_back(Configuration::encodeConfiguration(other).dump());
     }
 
+    Store::Timeline timeline_{};
     std::vector<std::string> history_;
     std::size_t staleness_ = 0;
     std::size_t concurrentWrites_ = 0;
@@ -155,3 +156,22 @@
     CHECK_TRUE(result.outcome == AcceptanceOutcome::Conflict);
     CHECK_EQUAL(1u, platform.history_.size());
 }
+
+TEST(AcceptConfiguration, GenerationAfterARestoreIsGreaterThanAllLostOnes)
+{
+    FakePlatform platform;
+    for (int number = 1; number <= 3; ++number)
+        acceptConfiguration(platform, candidateOf(number), std::nullopt, std::to_string(number),
+                            [](int) {});
+    const auto lost = configurationOf({"configuration", {}, platform.history_.back()});
+    platform.history_.resize(1);
+    platform.timeline_ = Store::Timeline(1);
+    const auto result =
+        acceptConfiguration(platform, candidateOf(4), std::nullopt, "4", [](int) {});
+    CHECK_TRUE(result.outcome == AcceptanceOutcome::InForce);
+    CHECK_TRUE(result.generation > lost->generation);
+    platform.history_.clear();
+    platform.timeline_ = Store::Timeline(2);
+    const auto next = acceptConfiguration(platform, candidateOf(5), std::nullopt, "5", [](int) {});
+    CHECK_TRUE(next.generation > result.generation);
+}
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/URI.h>
 
@@ -42,6 +43,13 @@
     bool staleReads = false;       ///< reads and lists return the objects as of PUT /faults
 };
 
+/// Closes the connection of \a request without a response, as a server that ends does. An exception
+/// leaves it open and silent.
+void closeConnection(HTTPServerRequest &request)
+{
+    static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().shutdown();
+}
+
 /// The platform's object API: versions, conditional updates and watches. Thread-safe.
 class Platform
 {
@@ -169,8 +177,10 @@
         return timeline != store_.timeline() || store_.revision() != after || faults_.outage;
     };
     changed_.wait_until(lock, until, isOver);
-    if (faults_.outage || restores_ != restores)
+    if (faults_.outage)
         throw std::runtime_error("outage");
+    if (restores_ != restores)
+        return closeConnection(request);
     const auto events = store_.eventsAfter(query["prefix"], after);
     if (!events || timeline != store_.timeline()) {
         lock.unlock();
--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -249,6 +249,32 @@
         deployment.state(name)["generation"] == 2 for name in deployment.running_processes()))
 
 
+@scenario
+def store_restored_from_copy(deployment):
+    """After the store lost its latest writes, processes announce themselves and follow it again."""
+    start_small(deployment)
+    accept = ["accept", deployment.answers_path, "--platform", deployment.platform]
+
+    def restore():
+        require(deployment.run_tool(*accept).returncode == 0, "generation 2 was not accepted")
+        deployment.wait_for("generation 2", lambda: all(
+            deployment.state(name)["generation"] == 2 for name in deployment.running_processes()))
+        announced = deployment.count_ready_announcements()
+        for _ in range(2):
+            deployment.set_platform_faults(lostWrites=4)
+            require(deployment.count_ready_announcements() < announced, "no announcement was lost")
+            done = deployment.run_tool(*accept)
+            require(done.returncode == 0, f"exit code {done.returncode}: {done.stderr}")
+            generation = int(done.stdout.split("generation ")[1].split()[0].rstrip(".,;:"))
+            deployment.wait_for("the accepted generation", lambda expected=generation: all(
+                deployment.state(name)["generation"] == expected
+                for name in deployment.running_processes()))
+            deployment.wait_for("announcements", lambda: (
+                deployment.count_ready_announcements() == announced))
+
+    under_load(deployment, 12, restore, ZERO_WITHOUT_BREAKAGE)
+
+
 @scenario
 def operator_drains_an_agent(deployment):
     """A drain requested by an operator moves the agent's flows and stays in effect."""
