--- a/tests/auto/platform_adapter/storestandin.h
+++ b/tests/auto/platform_adapter/storestandin.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/StreamCopier.h>
 
@@ -27,6 +28,9 @@
         int status = 200;
         nlohmann::json body;
         bool isLost = false; ///< the connection is closed instead of a response
+        std::uint64_t timeline = 0;
+        bool closesConnection = false; ///< after the response
+        bool announcesClose = true;    ///< whether the response says so
     };
 
     StoreStandin()
@@ -44,7 +48,16 @@
     void enqueueResponse(int status, nlohmann::json body, bool isLost = false)
     {
         const std::lock_guard guard(mutex_);
-        responses_.push_back({status, std::move(body), isLost});
+        responses_.push_back({status, std::move(body), isLost, 0, false, true});
+    }
+
+    /// Does the same for a response that comes from \a timeline.
+    void enqueueOnTimeline(std::uint64_t timeline, int status, nlohmann::json body,
+                           bool closesConnection = false, bool announcesClose = true)
+    {
+        const std::lock_guard guard(mutex_);
+        responses_.push_back(
+            {status, std::move(body), false, timeline, closesConnection, announcesClose});
     }
 
     /// Returns "METHOD path body" of each request so far. Thread-safe.
@@ -73,9 +86,16 @@
                 static_cast<Poco::Net::HTTPServerRequest &>(request).response().setKeepAlive(false);
                 throw std::runtime_error("response dropped by the test");
             }
+            if (queued.closesConnection && queued.announcesClose)
+                response.setKeepAlive(false);
+            if (queued.timeline > 0)
+                response.set("Store-Era", std::to_string(queued.timeline));
             const std::string text = queued.body.dump();
             response.setStatus(Poco::Net::HTTPResponse::HTTPStatus(queued.status));
-            response.sendBuffer(text.data(), text.size());
+            response.setContentLength(std::streamsize(text.size()));
+            response.send() << text << std::flush;
+            if (queued.closesConnection && !queued.announcesClose)
+                static_cast<Poco::Net::HTTPServerRequestImpl &>(request).detachSocket().shutdown();
         }
 
     private:
@@ -104,7 +124,7 @@
         const std::lock_guard guard(mutex_);
         requests_.push_back(std::move(request));
         if (responses_.empty())
-            return {503, nlohmann::json::object(), false};
+            return {503, nlohmann::json::object(), false, 0, false, true};
         Response response = responses_.front();
         responses_.pop_front();
         return response;
--- a/tests/auto/platform_adapter/tst_objectstore.cpp
+++ b/tests/auto/platform_adapter/tst_objectstore.cpp
@@ -1,7 +1,9 @@
 #include "platform/objectstore.h"
 
 #include "control/configurationfollower.h"
+#include "control/memberdirectory.h"
 #include "platform/operatorconfiguration.h"
+#include "platform_adapter/restorablestoreserver.h"
 #include "platform_adapter/storestandin.h"
 #include "store/attempt.h"
 
@@ -9,7 +11,9 @@
 
 #include <Poco/ErrorHandler.h>
 
+#include <atomic>
 #include <condition_variable>
+#include <thread>
 
 using nlohmann::json;
 using Store::attempt;
@@ -191,3 +195,115 @@
               {"current_rev", 9}});
     CHECK_TRUE(Model::Generation(5) == followUntil(store_, 5));
 }
+
+TEST(ObjectStore, CallsWithARevisionOfAnotherTimelineFail)
+{
+    constexpr Store::Timeline first{1};
+    const auto page = [](bool hasMore) {
+        return json{{"items", {object("a", 3, 1)}}, {"has_more", hasMore}, {"current_rev", 9}};
+    };
+    standin_.enqueueOnTimeline(1, 200, page(true));
+    standin_.enqueueOnTimeline(2, 200, page(false));
+    CHECK_TRUE(FailureKind::OtherTimeline == failureOfCall([&] { return store_.list("config/"); }));
+    CHECK_TRUE(store_.timeline() == Store::Timeline(2));
+
+    standin_.enqueueOnTimeline(2, 200, {{"events", json::array()}, {"current_rev", 9}});
+    CHECK_TRUE(FailureKind::OtherTimeline == failureOfCall([&] {
+                   return store_.watch("config/", Store::Revision(9, first), 1ms);
+               }));
+    standin_.enqueueOnTimeline(2, 200, object("thing", 10, 1));
+    CHECK_TRUE(FailureKind::OtherTimeline == failureOfCall([&] {
+                   return store_.write("own/thing", "1",
+                                       Store::IfVersion{Store::Version(9, first)});
+               }));
+    standin_.enqueueOnTimeline(2, 200, json::object());
+    CHECK_TRUE(FailureKind::OtherTimeline == failureOfCall([&] {
+                   return store_.remove("own/thing", Store::Version(9, first));
+               }));
+    // A response that names no timeline comes from the latest one.
+    standin_.enqueueResponse(200, object("thing", 10, 1));
+    const auto read = std::get<Store::Object>(attempt([&] { return store_.read("own/thing"); }));
+    CHECK_TRUE(read.version == Store::Version(10, Store::Timeline(2)));
+}
+
+TEST(ObjectStore, LongWatchIsNotSentOverAnotherConnectionThanTheLastResponse)
+{
+    const json noEvents{{"events", json::array()}, {"current_rev", 9}};
+    const Store::Revision position(9, Store::Timeline(1));
+    standin_.enqueueOnTimeline(1, 200, noEvents, true, false);
+    CHECK_TRUE(std::holds_alternative<Store::Changes>(
+        attempt([&] { return store_.watch("config/", position, 1ms); })));
+    const std::size_t requests = standin_.requests().size();
+    const auto failure = failureOfCall([&] { return store_.watch("config/", position, 10s); });
+    CHECK_TRUE(failure == FailureKind::Unreachable || failure == FailureKind::OutcomeUnknown);
+    LONGS_EQUAL(requests, standin_.requests().size());
+}
+
+TEST(ObjectStore, ServerThatClosesEachConnectionIsWatched)
+{
+    const json noEvents{{"events", json::array()}, {"current_rev", 9}};
+    const Store::Revision position(9, Store::Timeline(1));
+    for (const auto wait : {1ms, 10'000ms, 10'000ms}) {
+        standin_.enqueueOnTimeline(1, 200, noEvents, true);
+        CHECK_TRUE(std::holds_alternative<Store::Changes>(
+            attempt([&] { return store_.watch("config/", position, wait); })));
+    }
+}
+
+/// Waits until \a condition holds, for \a limit at most. Returns whether it holds.
+template<typename Condition>
+static bool waitUntil(std::chrono::milliseconds limit, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(10ms);
+    }
+    return true;
+}
+
+TEST(ObjectStore, ConfigurationConfirmedAfterARestoreIsInForceAndTheDirectoryIsBack)
+{
+    /// Long enough for a busy machine; without the follower's checks it takes until the watch ends.
+    constexpr std::chrono::milliseconds limit{15'000};
+    RestorableStoreServer server;
+    std::atomic<Model::Generation> inForce{};
+    Control::ConfigurationFollower<Platform::ObjectStore>::Options options;
+    options.key = Platform::ConfigurationKey;
+    options.prefix = Platform::ConfigurationPrefix;
+    options.seed = 1;
+    options.decode = Platform::readOperatorConfiguration;
+    options.changed = [&](const Model::Configuration &applied) { inForce = applied.generation; };
+    Platform::ObjectStore followed(server.endpoint(), 1500ms);
+    Control::ConfigurationFollower<Platform::ObjectStore> follower(followed, std::move(options));
+    Platform::ObjectStore client(server.endpoint(), 1500ms);
+    Control::MemberDirectory<Platform::ObjectStore> directory(client, Platform::DirectoryKey);
+    Tunnel::Member member;
+    member.instance.name = "front-1";
+    member.instance.tunnel = {0x0a000001, 7000};
+    const auto isDirectoryWhole = [&] {
+        directory.step(std::chrono::steady_clock::now(), true, {member}, followed.timeline());
+        const auto stored = server.read(Platform::DirectoryKey);
+        return stored && Membership::decodeDirectory(*stored).timeline == client.timeline();
+    };
+
+    int version = 1;
+    server.write(Platform::ConfigurationKey, configuration(version));
+    CHECK_TRUE(waitUntil(limit, isDirectoryWhole));
+    for (std::size_t restore = 0; restore < 5; ++restore) {
+        server.write(Platform::ConfigurationKey, configuration(++version));
+        const Model::Generation lost{std::uint64_t(version)};
+        CHECK_TRUE(waitUntil(limit, [&] { return inForce == lost; }));
+        server.interrupt();
+        std::this_thread::sleep_for(100ms);
+        server.resume(2 + restore);
+        // The last revision that the follower knows is given out again, not for a configuration.
+        server.write(Platform::ConfigurationKey, configuration(++version));
+        for (int other = 0; other < 10; ++other)
+            server.write("servers/" + std::to_string(other), other);
+        const Model::Generation confirmed{std::uint64_t(version)};
+        CHECK_TRUE(waitUntil(limit, [&] { return inForce == confirmed; }));
+        CHECK_TRUE(waitUntil(limit, isDirectoryWhole));
+    }
+}
--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -260,12 +260,15 @@
         deployment.wait_for("generation 2", lambda: all(
             deployment.state(name)["generation"] == 2 for name in deployment.running_processes()))
         announced = deployment.count_ready_announcements()
+        latest = 2
         for _ in range(2):
             deployment.set_platform_faults(lostWrites=4)
             require(deployment.count_ready_announcements() < announced, "no announcement was lost")
             done = deployment.run_tool(*accept)
             require(done.returncode == 0, f"exit code {done.returncode}: {done.stderr}")
             generation = int(done.stdout.split("generation ")[1].split()[0].rstrip(".,;:"))
+            require(generation > latest, f"generation {generation} was in force before")
+            latest = generation
             deployment.wait_for("the accepted generation", lambda expected=generation: all(
                 deployment.state(name)["generation"] == expected
                 for name in deployment.running_processes()))
