--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -137,7 +137,7 @@
     };
     Follower follower(store, std::move(options));
     Platform::ObjectStore directoryStore(process.store, StoreTimeout);
-    Directory directory(directoryStore, Platform::DirectoryKey);
+    Directory directory(directoryStore, Platform::DirectoryKey, process.isFirstStart);
     std::atomic<bool> isStopping = false;
     const Platform::PlatformServer server(
         {process.readiness, process.control},
--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -26,10 +26,12 @@
 {
 public:
     /// \a client must outlive this object and must not be used elsewhere. \a key is the key of the
-    /// directory in the store.
-    MemberDirectory(Client &client, std::string key)
+    /// directory in the store, and \a isFirstStart whether the whole system starts for the first
+    /// time.
+    MemberDirectory(Client &client, std::string key, bool isFirstStart = false)
         : client_(client)
         , key_(std::move(key))
+        , policy_(isFirstStart)
     {}
 
     /// Makes the call that is due at \a now, if any. \a isResponsible is whether this process
--- a/src/libs/membership/directory.cpp
+++ b/src/libs/membership/directory.cpp
@@ -55,16 +55,18 @@
         changedSince_ = now;
     if (now < waitUntil_)
         return DirectoryStep::Wait;
-    if (!hasRead_ || (isResponsible && timeline_ != timeline))
+    if (needsRead_ || (isResponsible && timeline_ && timeline_ != timeline))
         return DirectoryStep::Read;
     const bool isDue =
         changedSince_ && (wasRestored_ || now - *changedSince_ >= DirectoryWriteDelay);
-    return isResponsible && isDue ? DirectoryStep::Write : DirectoryStep::Wait;
+    if (!isResponsible || !isDue)
+        return DirectoryStep::Wait;
+    return timeline_ ? DirectoryStep::Write : DirectoryStep::Read;
 }
 
 void DirectoryPolicy::onRead(const std::optional<std::string> &value, Store::Timeline timeline)
 {
-    hasRead_ = true;
+    needsRead_ = false;
     wasRestored_ |= timeline_ && timeline_ != timeline;
     timeline_ = timeline;
     stored_ = value.value_or(std::string());
@@ -79,7 +81,7 @@
 
 void DirectoryPolicy::onFailed(TimePoint now)
 {
-    hasRead_ = false;
+    needsRead_ = true;
     waitUntil_ = now + DirectoryRetryDelay;
 }
 
--- a/src/libs/membership/directory.h
+++ b/src/libs/membership/directory.h
@@ -60,6 +60,14 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    DirectoryPolicy() = default;
+
+    /// \a isFirstStart is whether the whole system starts for the first time: there is no directory
+    /// to read then, and only the responsible balancer makes calls.
+    explicit DirectoryPolicy(bool isFirstStart)
+        : needsRead_(!isFirstStart)
+    {}
+
     /// Returns the next action at \a now. \a isResponsible is whether this balancer writes the
     /// directory, \a encoded the directory that it would write, and \a timeline the latest known
     /// one of the store.
@@ -77,7 +85,7 @@
     void onFailed(TimePoint now);
 
 private:
-    bool hasRead_ = false;
+    bool needsRead_ = true;
     bool wasRestored_ = false;                ///< since the directory was written
     std::optional<Store::Timeline> timeline_; ///< at the latest read
     std::string stored_;
--- a/tests/auto/membership/tst_directory.cpp
+++ b/tests/auto/membership/tst_directory.cpp
@@ -106,3 +106,13 @@
     policy.onWritten("b");
     CHECK_TRUE(policy.next(start + 10s, true, "c", second) == DirectoryStep::Wait);
 }
+
+TEST(Directory, OnlyTheResponsibleBalancerReadsWhenTheSystemStartsForTheFirstTime)
+{
+    DirectoryPolicy policy(true);
+    CHECK_TRUE(policy.next(start, true, "a", first) == DirectoryStep::Wait);
+    CHECK_TRUE(policy.next(start + 9s, false, "a", first) == DirectoryStep::Wait);
+    CHECK_TRUE(policy.next(start + 9s, true, "a", first) == DirectoryStep::Read);
+    policy.onRead(std::nullopt, first);
+    CHECK_TRUE(policy.next(start + 9s, true, "a", first) == DirectoryStep::Write);
+}
