--- a/src/libs/control/announcementpolicy.cpp
+++ b/src/libs/control/announcementpolicy.cpp
@@ -84,7 +84,7 @@
         removed_ = leaving_;
         return;
     }
-    if (kind == Store::FailureKind::Conflict || kind == Store::FailureKind::OutcomeUnknown)
+    if (kind == Store::FailureKind::Conflict || Store::mayHaveTakenEffect(kind))
         isObserved_ = false;
     notBefore_ = now + backoff_.onFailure();
 }
--- a/src/libs/store/conditionalwrite.h
+++ b/src/libs/store/conditionalwrite.h
@@ -32,8 +32,8 @@
     return ifVersion ? ifVersion->version : Version{};
 }
 
-/// Writes \a value if \a precondition holds. After a lost response it reads the object to find out
-/// whether the write took effect, instead of writing again.
+/// Writes \a value if \a precondition holds. After a lost response, or one of another timeline, it
+/// reads the object to find out whether the write took effect, instead of writing again.
 ///
 /// \a contains returns whether a value that was read shows that this write took effect, for example
 /// because it contains a change id. \a pause is called before each read, with its number from 0. A
@@ -51,7 +51,7 @@
     const auto failure = std::get<FailureKind>(written);
     if (failure == FailureKind::Conflict)
         return {WriteOutcome::Conflict, {}, failure};
-    if (failure != FailureKind::OutcomeUnknown)
+    if (!mayHaveTakenEffect(failure))
         return {WriteOutcome::Failed, {}, failure};
 
     for (int number = 0; number < MaxReadBacks; ++number) {
--- a/src/libs/store/objectclient.h
+++ b/src/libs/store/objectclient.h
@@ -68,6 +68,12 @@
     Malformed,      ///< the response has an unknown format or status
 };
 
+/// Whether a write that failed for \a kind may have taken effect. Thread-safe.
+inline bool mayHaveTakenEffect(FailureKind kind)
+{
+    return kind == FailureKind::OutcomeUnknown || kind == FailureKind::OtherTimeline;
+}
+
 /// Returns the name of \a kind for logs and metrics. Thread-safe.
 inline const char *failureText(FailureKind kind)
 {
--- a/tests/auto/operations/tst_acceptance.cpp
+++ b/tests/auto/operations/tst_acceptance.cpp
@@ -55,6 +55,8 @@
         history_.push_back(value);
         if (losesAnswer_)
             return boost::leaf::new_error(Failure{FailureKind::OutcomeUnknown});
+        if (isRestored_)
+            return boost::leaf::new_error(Failure{FailureKind::OtherTimeline});
         return Store::Version(history_.size());
     }
 
@@ -92,6 +94,7 @@
     std::size_t concurrentWrites_ = 0;
     bool losesWrite_ = false; ///< before it reaches the platform
     bool losesAnswer_ = false;
+    bool isRestored_ = false; ///< between the read and the write; the write takes effect
     bool readsFail_ = false;
     bool writesFail_ = false;
 };
@@ -175,3 +178,14 @@
     const auto next = acceptConfiguration(platform, candidateOf(5), std::nullopt, "5", [](int) {});
     CHECK_TRUE(next.generation > result.generation);
 }
+
+TEST(AcceptConfiguration, WriteOnAnotherTimelineIsNotReportedAsNotWritten)
+{
+    FakePlatform platform;
+    acceptConfiguration(platform, candidateOf(1), std::nullopt, "a", [](int) {});
+    platform.isRestored_ = true;
+    const auto result =
+        acceptConfiguration(platform, candidateOf(2), std::nullopt, "b", [](int) {});
+    CHECK_TRUE(result.outcome == AcceptanceOutcome::InForce);
+    CHECK_TRUE(tookEffect(platform, "b"));
+}
