--- a/tests/auto/platform_adapter/tst_operatorconfiguration.cpp
+++ b/tests/auto/platform_adapter/tst_operatorconfiguration.cpp
@@ -46,7 +46,7 @@
 
 TEST(OperatorConfiguration, ConfigurationWithOneMalformedRouteIsNotTakenInPart)
 {
-    const auto replaced = [](std::string from, const std::string &to) {
+    const auto replaced = [](const std::string &from, const std::string &to) {
         std::string value = published;
         return value.replace(value.rfind(from), from.size(), to);
     };
--- a/tests/auto/platform_adapter/tst_storerestore.cpp
+++ b/tests/auto/platform_adapter/tst_storerestore.cpp
@@ -179,6 +179,7 @@
     std::vector<Tunnel::Member> members() const
     {
         std::vector<Tunnel::Member> members;
+        members.reserve(AgentCount + balancers_.size());
         for (int agent = 0; agent < AgentCount; ++agent)
             members.push_back(memberOf(fmt::format("side-{}", agent), "desk", agentRuns_[agent]));
         for (const Balancer &balancer : balancers_) {
