--- a/src/libs/placement/agentselector.h
+++ b/src/libs/placement/agentselector.h
@@ -15,12 +15,10 @@
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
-/// Time that an agent in another failure domain must save to be worth the traffic between domains:
-/// a third of the tightest latency objective of the deployments, 120 ms.
+/// Time that an agent in another failure domain must save to be worth the traffic between domains.
 constexpr std::chrono::milliseconds CrossDomainCost{40};
 
-/// Response time assumed for an agent that has not responded yet: the mean running time of the
-/// deployments' requests, plus half of it to allow for a cold start.
+/// Response time assumed for an agent that has not responded yet. Allows for a cold start.
 constexpr std::chrono::milliseconds DefaultAnswerTime{30};
 
 /// Time without a report after a flow was placed on an agent, after which that agent is tried last.
@@ -28,8 +26,8 @@
 /// other processes.
 constexpr std::chrono::milliseconds PlacementReportTimeout{150};
 
-/// Time that a failed response costs a caller: another attempt with all its waits, twice the
-/// loosest latency objective of requests that people wait for, 250 ms. Orders that failed are lost.
+/// Time that a failed response costs a caller: another attempt with all its waits. Requests that
+/// must not be repeated are lost.
 constexpr std::chrono::milliseconds FailureCost{500};
 
 /// Share of failed responses from which on a server is an outlier, which gets no new flows while
--- a/tests/auto/membership/tst_instanceregistry.cpp
+++ b/tests/auto/membership/tst_instanceregistry.cpp
@@ -124,7 +124,7 @@
     });
 }
 
-TEST(InstanceRegistry, MalformedAnnouncementKeepsTheInstance)
+static Model::Instance announcedInstance()
 {
     Model::Instance instance;
     instance.name = "agent-1";
@@ -132,6 +132,12 @@
     instance.failureDomain = "harbour";
     instance.tunnel = {0x7f000001, 1};
     instance.peer = {0x7f000001, 2};
+    return instance;
+}
+
+TEST(InstanceRegistry, MalformedAnnouncementKeepsTheInstance)
+{
+    const Model::Instance instance = announcedInstance();
     InstanceRegistry registry;
     registry.apply(
         Store::Change{instanceKey("agent-1"), Store::Version(1), encodeAnnouncement(instance)});
@@ -146,13 +152,7 @@
     const InstanceRegistry::TimePoint now{1h};
     constexpr Store::Timeline first{1};
     constexpr Store::Timeline second{2};
-    Model::Instance instance;
-    instance.name = "agent-1";
-    instance.service = "order-desk";
-    instance.failureDomain = "harbour";
-    instance.tunnel = {0x7f000001, 1};
-    instance.peer = {0x7f000001, 2};
-    instance.incarnation = Model::Incarnation(1);
+    const Model::Instance instance = announcedInstance();
     const std::string key = instanceKey("agent-1");
     InstanceRegistry registry;
     registry.apply(Store::Change{key, Store::Version(90, first), encodeAnnouncement(instance)});
