--- a/src/libs/control/watchpolicy.cpp
+++ b/src/libs/control/watchpolicy.cpp
@@ -27,7 +27,7 @@
     case State::Listing:
         return ListPlatform{};
     case State::Resuming:
-        return WatchPlatform{revision_, ResumeTimeout};
+        return WatchPlatform{revision_, resumeTimeout_};
     case State::Watching:
         return WatchPlatform{revision_, WatchTimeout};
     case State::FetchingPeerSnapshot:
@@ -40,11 +40,13 @@
     return ListPlatform{};
 }
 
-void WatchPolicy::pauseBefore(State next, std::chrono::milliseconds pause)
+void WatchPolicy::pauseBefore(State next, std::chrono::milliseconds pause,
+                              std::chrono::milliseconds resumeTimeout)
 {
     state_ = State::Pausing;
     afterPause_ = next;
     pause_ = pause;
+    resumeTimeout_ = resumeTimeout;
 }
 
 void WatchPolicy::onListed(Store::Revision revision)
@@ -71,7 +73,7 @@
     if (!hasChanges)
         return;
     if (lastChange_ && now - *lastChange_ <= 2 * coalescingDelay_)
-        pauseBefore(State::Resuming, coalescingDelay_);
+        pauseBefore(State::Resuming, coalescingDelay_, coalescingDelay_);
     lastChange_ = now;
 }
 
@@ -84,7 +86,7 @@
     }
     const bool mustList = !hasListed_ || isAnswered(kind);
     pauseBefore(mustList ? State::Listing : State::Resuming,
-                std::max(MinPause, backoff_.onFailure() - duration));
+                std::max(MinPause, backoff_.onFailure() - duration), ResumeTimeout);
     if (peerCount_ > 0)
         state_ = State::FetchingPeerSnapshot;
 }
--- a/src/libs/control/watchpolicy.h
+++ b/src/libs/control/watchpolicy.h
@@ -22,7 +22,7 @@
 struct ListPlatform
 {};
 
-/// Timeout of a watch that only finds out what happened since the last response.
+/// Timeout of a watch after a failure, which only finds out what happened since the last response.
 constexpr std::chrono::milliseconds ResumeTimeout{1};
 
 /// Step: watch the platform for changes after the revision \c after, for at most \c wait.
@@ -49,9 +49,9 @@
 /// Decides which calls keep a process up to date with the platform: list once, then watch. After a
 /// failure it backs off, and requests a peer's snapshot before each pause.
 ///
-/// After each pause the first watch returns at once. The platform may have been restored meanwhile
-/// and may have given out the last revision again, so that a long watch would wait for a change
-/// after it and miss the earlier ones. The response tells the timeline.
+/// After each pause the first watch returns soon. The platform may have been restored meanwhile and
+/// may have given out the last revision again, so that a long watch would wait for a change after
+/// it and miss the earlier ones. The response tells the timeline.
 ///
 /// Performs no I/O and reads no clock. Not thread-safe.
 class WatchPolicy
@@ -86,7 +86,8 @@
 private:
     enum class State { Listing, Resuming, Watching, FetchingPeerSnapshot, Pausing };
 
-    void pauseBefore(State next, std::chrono::milliseconds pause);
+    void pauseBefore(State next, std::chrono::milliseconds pause,
+                     std::chrono::milliseconds resumeTimeout);
 
     Store::Backoff backoff_;
     State state_ = State::Listing;
@@ -99,6 +100,7 @@
     std::size_t peerCount_;
     std::size_t nextPeer_;
     std::chrono::milliseconds pause_{0};
+    std::chrono::milliseconds resumeTimeout_{0}; ///< of the watch after a pause
 };
 
 } // namespace Control
--- a/tests/auto/control/tst_watchpolicy.cpp
+++ b/tests/auto/control/tst_watchpolicy.cpp
@@ -25,7 +25,36 @@
     // Changes in quick succession are collected during a pause.
     policy.onWatched(start + 400ms, Revision(9), true);
     CHECK_TRUE(std::get<WaitFor>(policy.next()).duration == 300ms);
-    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == ResumeTimeout);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == 300ms);
+    policy.onWatched(start + 1s, Revision(9), false);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
+}
+
+TEST(WatchPolicy, SeriesOfChangesCostsOneCallPerCoalescingDelayAtMost)
+{
+    for (const auto gap : {20ms, 80ms, 250ms, 390ms, 580ms, 700ms}) {
+        WatchPolicy policy(0, 1, 300ms);
+        policy.next();
+        policy.onListed(Revision(0));
+        auto now = start;
+        int calls = 0;
+        int lastSeen = 0;
+        // Change number n takes place at the time n * gap.
+        while (now < start + 30s) {
+            const WatchStep step = policy.next();
+            if (const auto *pause = std::get_if<WaitFor>(&step)) {
+                now += pause->duration;
+                continue;
+            }
+            ++calls;
+            const auto deadline = now + std::get<WatchPlatform>(step).wait;
+            now = std::min(deadline, std::max(now, start + (lastSeen + 1) * gap)) + 4ms;
+            const int latest = int((now - start) / gap);
+            policy.onWatched(now, Revision(std::uint64_t(latest)), latest > lastSeen);
+            lastSeen = latest;
+        }
+        CHECK_TRUE(calls <= 2 + 30s / std::max<std::chrono::milliseconds>(300ms, gap));
+    }
 }
 
 TEST(WatchPolicy, ListsAgainOnAnotherTimeline)
