--- a/src/libs/control/watchpolicy.cpp
+++ b/src/libs/control/watchpolicy.cpp
@@ -70,11 +70,13 @@
     revision_ = revision;
     state_ = State::Watching;
     backoff_.onSuccess();
-    if (!hasChanges)
-        return;
-    if (lastChange_ && now - *lastChange_ <= 2 * coalescingDelay_)
+    // After a pause, changes are reported up to twice the delay apart.
+    const auto maxGap = isSeries_ ? 2 * coalescingDelay_ : coalescingDelay_;
+    isSeries_ = hasChanges && lastChange_ && now - *lastChange_ <= maxGap;
+    if (hasChanges)
+        lastChange_ = now;
+    if (isSeries_)
         pauseBefore(State::Resuming, coalescingDelay_, coalescingDelay_);
-    lastChange_ = now;
 }
 
 void WatchPolicy::onFailed(Store::FailureKind kind, std::chrono::milliseconds duration)
--- a/src/libs/control/watchpolicy.h
+++ b/src/libs/control/watchpolicy.h
@@ -61,8 +61,9 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     /// \a peerCount is the number of peers to ask in turn while the platform is down. \a seed
-    /// randomizes the pauses and the first peer. Changes that follow each other within
-    /// \a coalescingDelay are reported together, each time after a pause of that length.
+    /// randomizes the pauses and the first peer. While changes follow each other within
+    /// \a coalescingDelay, each watch begins after a pause of that length, so that it reports
+    /// several of them.
     WatchPolicy(std::size_t peerCount, std::uint64_t seed,
                 std::chrono::milliseconds coalescingDelay = {});
 
@@ -97,6 +98,7 @@
     bool lastCallSucceeded_ = false;
     std::chrono::milliseconds coalescingDelay_;
     std::optional<TimePoint> lastChange_;
+    bool isSeries_ = false; ///< changes follow each other within the delay
     std::size_t peerCount_;
     std::size_t nextPeer_;
     std::chrono::milliseconds pause_{0};
--- a/tests/auto/control/tst_watchpolicy.cpp
+++ b/tests/auto/control/tst_watchpolicy.cpp
@@ -23,13 +23,24 @@
     policy.onWatched(start, Revision(8), true);
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
     // Changes in quick succession are collected during a pause.
-    policy.onWatched(start + 400ms, Revision(9), true);
+    policy.onWatched(start + 200ms, Revision(9), true);
     CHECK_TRUE(std::get<WaitFor>(policy.next()).duration == 300ms);
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == 300ms);
     policy.onWatched(start + 1s, Revision(9), false);
     CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
 }
 
+TEST(WatchPolicy, TwoChangesCostOneWatchEach)
+{
+    WatchPolicy policy(0, 1, 300ms);
+    policy.next();
+    policy.onListed(Revision(7));
+    policy.onWatched(start, Revision(8), true);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
+    policy.onWatched(start + 400ms, Revision(9), true);
+    CHECK_TRUE(std::get<WatchPlatform>(policy.next()).wait == WatchTimeout);
+}
+
 TEST(WatchPolicy, SeriesOfChangesCostsOneCallPerCoalescingDelayAtMost)
 {
     for (const auto gap : {20ms, 80ms, 250ms, 390ms, 580ms, 700ms}) {
