--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -481,8 +481,12 @@
         path = self.rig.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings(), indent=1))
         self.starts += 1
-        self.process = subprocess.Popen([DAEMON, "--settings", path], stdin=subprocess.DEVNULL, stdout=self.log,
-                                        stderr=self.log, cwd=ROOT)
+        with self.rig.starting:
+            if self.rig.closing:
+                return
+            self.process = subprocess.Popen([DAEMON, "--settings", path], stdin=subprocess.DEVNULL,
+                                            stdout=self.log, stderr=self.log, cwd=ROOT)
+            self.rig.processes.append(self.process)
         self.wanted = True
         self.rig.record(self.name, f"process {self.process.pid} starts")
         threading.Thread(target=self.wait, args=(self.process,), daemon=True).start()
@@ -700,21 +704,24 @@
         self.owners = {}  # by flow: when it opened, and at which backend
         self.arrivals = {}  # by flow: when which backend got a packet other than a SYN
         self.closing = False
+        self.starting = threading.Lock()
+        self.processes = []  # all that were started
         self.version = 0
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
-        self.closing = True
+        with self.starting:
+            self.closing = True
         for machine in self.fronts + self.sides:
             machine.wanted = False
-            if machine.process and machine.process.poll() is None:
-                machine.process.send_signal(signal.SIGCONT)
-                machine.process.kill()
-        for machine in self.fronts + self.sides:
-            if machine.process:
-                machine.process.wait()
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
         self.temporary.cleanup()
 
     def violation(self, rule, text):
@@ -832,10 +839,12 @@
     if not DAEMON.exists():
         print("the build of the deploy file is missing")
         sys.exit(2)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that a time limit ends the processes too
     try:
         with Rig(folder) as rig:
             code = run(rig, trouble)
-    except Exception as error:  # the case could not run
+    except BaseException as error:  # the case could not run
         print(f"could not run: {type(error).__name__}: {error}")
         code = 2
+    sys.stdout.flush()
     os._exit(code)
