--- a/src/libs/control/memberdirectory.h
+++ b/src/libs/control/memberdirectory.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "membership/directory.h"
-#include "observability/log.h"
-#include "store/attempt.h"
+#include "control/sharedobject.h"
 
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -29,9 +26,12 @@
     /// directory in the store, and \a isFirstStart whether the whole system starts for the first
     /// time.
     MemberDirectory(Client &client, std::string key, bool isFirstStart = false)
-        : client_(client)
-        , key_(std::move(key))
-        , policy_(isFirstStart)
+        : object_(client, std::move(key),
+                  {"directory", "members",
+                   [](const std::string &value) {
+                       return Membership::decodeDirectory(value).members.size();
+                   }},
+                  isFirstStart)
     {}
 
     /// Makes the call that is due at \a now, if any. \a isResponsible is whether this process
@@ -43,78 +43,21 @@
                                          const std::vector<Tunnel::Member> &members,
                                          Store::Timeline timeline)
     {
-        const Store::Timeline latest = std::max(timeline, client_.timeline());
-        const std::string encoded = Membership::encodeDirectory(members, latest);
-        switch (policy_.next(now, isResponsible, encoded, latest)) {
-        case Membership::DirectoryStep::Wait:
+        const auto found = object_.step(
+            now, isResponsible,
+            [&members](Store::Timeline latest) {
+                return Membership::encodeDirectory(members, latest);
+            },
+            timeline);
+        if (!found || std::exchange(wasReturned_, true))
             return std::nullopt;
-        case Membership::DirectoryStep::Write:
-            write(now, encoded, members.size());
-            return std::nullopt;
-        case Membership::DirectoryStep::Read:
-            return read(now);
-        }
-        return std::nullopt;
+        auto directory = Membership::decodeDirectory(found->value);
+        return LastKnownMembers{std::move(directory.members),
+                                directory.timeline == found->timeline};
     }
 
 private:
-    std::optional<LastKnownMembers> read(std::chrono::steady_clock::time_point now)
-    {
-        const auto found = Store::attempt([this] { return client_.read(key_); });
-        const auto *const object = std::get_if<Store::Object>(&found);
-        if (!object && std::get<Store::FailureKind>(found) != Store::FailureKind::NotFound) {
-            onFailure(now, "read", std::get<Store::FailureKind>(found));
-            return std::nullopt;
-        }
-        version_ = object ? std::optional(object->version) : std::nullopt;
-        policy_.onRead(object ? std::optional(object->value) : std::nullopt, client_.timeline());
-        auto directory =
-            object ? Membership::decodeDirectory(object->value) : Membership::Directory();
-        log("directory-read", version_.value_or(Store::Version()), directory.members.size());
-        if (!object || std::exchange(wasReturned_, true))
-            return std::nullopt;
-        const bool isComplete = directory.timeline == object->version.timeline();
-        return LastKnownMembers{std::move(directory.members), isComplete};
-    }
-
-    void write(std::chrono::steady_clock::time_point now, const std::string &encoded,
-               std::size_t memberCount)
-    {
-        const Store::Precondition precondition =
-            version_ ? Store::Precondition(Store::IfVersion{*version_}) : Store::IfAbsent{};
-        const auto written =
-            Store::attempt([&] { return client_.write(key_, encoded, precondition); });
-        if (const auto *version = std::get_if<Store::Version>(&written)) {
-            version_ = *version;
-            policy_.onWritten(encoded);
-            log("directory-written", *version, memberCount);
-        } else {
-            // The next read shows whether only the response was lost or another process wrote
-            // first.
-            onFailure(now, "write", std::get<Store::FailureKind>(written));
-        }
-    }
-
-    void log(const char *event, Store::Version version, std::size_t members)
-    {
-        Observability::log(Observability::Level::Info, event,
-                           {{"members", members},
-                            {"revision", version.number()},
-                            {"timeline", std::uint64_t(client_.timeline())}});
-    }
-
-    void onFailure(std::chrono::steady_clock::time_point now, const char *call,
-                   Store::FailureKind kind)
-    {
-        Observability::log(Observability::Level::Warning, "directory-call-failed",
-                           {{"call", call}, {"cause", Store::failureText(kind)}});
-        policy_.onFailed(now);
-    }
-
-    Client &client_;
-    std::string key_;
-    Membership::DirectoryPolicy policy_;
-    std::optional<Store::Version> version_;
+    SharedObject<Client> object_;
     bool wasReturned_ = false;
 };
 
--- a/src/libs/membership/directory.h
+++ b/src/libs/membership/directory.h
@@ -80,6 +80,9 @@
     /// Records that \a value was written.
     void onWritten(const std::string &value);
 
+    /// Requests that the directory is read again.
+    void invalidate() { needsRead_ = true; }
+
     /// Records that a call failed, or that another balancer wrote first. The directory is read
     /// again after DirectoryRetryDelay.
     void onFailed(TimePoint now);
