--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -6,6 +6,7 @@
 #include "configuration/routeconfiguration.h"
 #include "control/configurationfollower.h"
 #include "control/memberdirectory.h"
+#include "control/routerecord.h"
 #include "forwarding/balancertraffic.h"
 #include "forwarding/withdrawal.h"
 #include "observability/adminserver.h"
@@ -24,6 +25,7 @@
 using Observability::log;
 using Traffic = Forwarding::BalancerTraffic<Platform::PacketCodec>;
 using Directory = Control::MemberDirectory<Platform::ObjectStore>;
+using Recorder = Control::RouteRecorder<Platform::ObjectStore>;
 using Follower = Control::ConfigurationFollower<Platform::ObjectStore>;
 
 /// Timeout for calls of the store, which normally responds within milliseconds.
@@ -60,12 +62,15 @@
                               {"agents", agents},
                               {"balancers", core.roster().balancers().size()},
                               {"cachedFlows", core.cachedFlows()},
+                              {"knowsFormerTargets", core.formerTargets().isComplete},
+                              {"addressesWithFormerTargets", core.formerTargets().byAddress.size()},
                               {"omittedLogLines", Observability::omittedLogLines()},
                               {"packets",
                                {{"received", counters.received.load()},
                                 {"forwarded", counters.forwarded.load()},
                                 {"unreadable", counters.unreadable.load()},
                                 {"resets", counters.resets.load()},
+                                {"searched", counters.searched.load()},
                                 {"dropped", counters.dropped.load()}}}};
     });
 }
@@ -116,12 +121,31 @@
     }
 }
 
+/// Makes the next call for the record of former targets, if one is due. \a timeline is the store's.
+static void updateRouteRecord(Traffic &traffic, Recorder &recorder, Store::Timeline timeline)
+{
+    const auto [generation, former, isFirst] =
+        traffic.withCore([](const Forwarding::BalancerCore &core) {
+            return std::tuple(core.configuration().generation, core.formerTargets(),
+                              core.roster().isFirstBalancer());
+        });
+    const auto now = std::chrono::steady_clock::now();
+    if (const auto record = recorder.step(now, isFirst, generation, former, timeline)) {
+        traffic.withCore([&](Forwarding::BalancerCore &core) {
+            core.setRecordedTargets(std::chrono::steady_clock::now(), record->generation,
+                                    record->former);
+        });
+    }
+}
+
 void runForwardingBalancer(const Configuration::ForwardingBalancerSettings &settings,
                            const std::string &settingsPath)
 {
     const Configuration::ForwardingSettings &process = settings.process;
     SettingsFile file(settingsPath);
-    Traffic traffic({selfMember(process, Tunnel::Role::Balancer), process.callers});
+    Traffic traffic(
+        {{selfMember(process, Tunnel::Role::Balancer), process.isFirstStart, settings.maxFlowAge},
+         process.callers});
     traffic.withCore([&](Forwarding::BalancerCore &core) { core.setSeeds(seedTunnels(process)); });
     traffic.start();
 
@@ -131,13 +155,14 @@
     options.prefix = Platform::ConfigurationPrefix;
     options.seed = std::random_device()();
     options.decode = Platform::readOperatorConfiguration;
-    options.changed = [&traffic](const Model::Configuration &configuration) {
-        traffic.withCore(
-            [&](Forwarding::BalancerCore &core) { core.setConfiguration(configuration); });
+    options.changed = [&traffic](const Model::Configuration &configuration,
+                                 Routing::Succession succession) {
+        traffic.setConfiguration(configuration, succession);
     };
     Follower follower(store, std::move(options));
     Platform::ObjectStore directoryStore(process.store, StoreTimeout);
     Directory directory(directoryStore, Platform::DirectoryKey, process.isFirstStart);
+    Recorder recorder(directoryStore, Platform::RouteRecordKey, process.isFirstStart);
     std::atomic<bool> isStopping = false;
     const Platform::PlatformServer server(
         {process.readiness, process.control},
@@ -168,6 +193,7 @@
         [&] {
             fetchNewerConfiguration(traffic, follower);
             updateDirectory(traffic, directory, store.timeline());
+            updateRouteRecord(traffic, recorder, store.timeline());
         });
     log(Level::Info, "stopping", {{"role", "forwarding-balancer"}, {"name", process.name}});
     isStopping = true;
--- a/src/libs/configuration/settings.cpp
+++ b/src/libs/configuration/settings.cpp
@@ -62,6 +62,15 @@
     return process;
 }
 
+static ForwardingBalancerSettings readForwardingBalancer(ObjectReader &reader)
+{
+    ForwardingBalancerSettings balancer;
+    balancer.process = readForwarding(reader);
+    balancer.maxFlowAge =
+        std::chrono::seconds(reader.integerOr("longestFlowSeconds", 0, MaxFlowAgeSeconds, 0));
+    return balancer;
+}
+
 static ForwardingAgentSettings readForwardingAgent(ObjectReader &reader)
 {
     ForwardingAgentSettings agent;
@@ -93,7 +102,7 @@
         settings = readAgent(reader);
         break;
     case 2:
-        settings = ForwardingBalancerSettings{readForwarding(reader)};
+        settings = readForwardingBalancer(reader);
         break;
     default:
         settings = readForwardingAgent(reader);
--- a/src/libs/configuration/settings.h
+++ b/src/libs/configuration/settings.h
@@ -59,6 +59,7 @@
 struct ForwardingBalancerSettings
 {
     ForwardingSettings process;
+    std::chrono::seconds maxFlowAge{0}; ///< age after which a flow may be discarded; 0: no limit
 };
 
 struct ForwardingAgentSettings
--- a/src/libs/control/configurationsynchronizer.h
+++ b/src/libs/control/configurationsynchronizer.h
@@ -4,6 +4,7 @@
 #include "configuration/generationgate.h"
 #include "control/watchpolicy.h"
 #include "observability/log.h"
+#include "routing/routehistory.h"
 #include "store/attempt.h"
 
 #include <atomic>
@@ -35,7 +36,7 @@
         /// Parses an object's value; fails with Configuration::FileError. Called by step().
         std::function<boost::leaf::result<Model::Configuration>(const std::string &)> decode;
         /// Called by step() and offer(), with a lock held: must not call back into this object.
-        std::function<void(const Model::Configuration &)> changed;
+        std::function<void(const Model::Configuration &, Routing::Succession)> changed;
     };
 
     /// \a client must outlive this object and must not be used elsewhere.
@@ -59,10 +60,31 @@
         return {};
     }
 
-    /// Puts \a configuration in force if its generation is greater than the current one. \a source
-    /// is its origin for the log, such as a peer's name. Returns whether it was accepted.
+    /// Puts \a configuration, which \a source provided, in force if its generation is greater than
+    /// the current one. \a source is a peer's name for the log. Returns whether it was accepted.
     /// Thread-safe.
     bool offer(const Model::Configuration &configuration, const std::string &source)
+    {
+        return accept(configuration, Routing::Succession::Unknown, source);
+    }
+
+    /// Returns the configuration in force; generation 0 before the first one. Thread-safe.
+    Model::Configuration current() const
+    {
+        const std::lock_guard guard(gateMutex_);
+        return gate_.current();
+    }
+
+    /// Whether the last call to the store succeeded. Thread-safe.
+    bool lastCallSucceeded() const { return lastCallSucceeded_; }
+
+    /// Announces that the client is about to be aborted, so that the failure is not logged.
+    /// Thread-safe.
+    void onStopping() { isStopping_ = true; }
+
+private:
+    bool accept(const Model::Configuration &configuration, Routing::Succession succession,
+                const std::string &source)
     {
         const std::lock_guard guard(gateMutex_);
         const auto before = gate_.current().generation;
@@ -79,25 +101,10 @@
                             {"before", std::uint64_t(before)},
                             {"routes", configuration.routes.size()},
                             {"source", source}});
-        options_.changed(gate_.current());
+        options_.changed(gate_.current(), succession);
         return true;
     }
 
-    /// Returns the configuration in force; generation 0 before the first one. Thread-safe.
-    Model::Configuration current() const
-    {
-        const std::lock_guard guard(gateMutex_);
-        return gate_.current();
-    }
-
-    /// Whether the last call to the store succeeded. Thread-safe.
-    bool lastCallSucceeded() const { return lastCallSucceeded_; }
-
-    /// Announces that the client is about to be aborted, so that the failure is not logged.
-    /// Thread-safe.
-    void onStopping() { isStopping_ = true; }
-
-private:
     std::chrono::milliseconds list()
     {
         const auto start = options_.clock();
@@ -111,7 +118,7 @@
                             {"timeline", std::uint64_t(content.revision.timeline())},
                             {"objects", content.objects.size()}});
         for (const Store::Object &object : content.objects)
-            handleObject(object.key, object.value);
+            handleObject(object.key, object.value, Routing::Succession::Unknown);
         onSuccess();
         policy_.onListed(content.revision);
         return {};
@@ -132,21 +139,22 @@
         const auto &content = std::get<Store::Changes>(changes);
         for (const Store::Change &change : content.changes) {
             if (change.value)
-                handleObject(change.key, *change.value);
+                handleObject(change.key, *change.value, Routing::Succession::Direct);
         }
         onSuccess();
         policy_.onWatched(options_.clock(), content.revision, !content.changes.empty());
         return {};
     }
 
-    void handleObject(const std::string &key, const std::string &value)
+    void handleObject(const std::string &key, const std::string &value,
+                      Routing::Succession succession)
     {
         if (key != options_.key)
             return;
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
                 BOOST_LEAF_AUTO(configuration, options_.decode(value));
-                offer(configuration, "store");
+                accept(configuration, succession, "store");
                 return {};
             },
             [](const Configuration::FileError &error) {
--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -189,8 +189,8 @@
 {
     if (header.passes >= MaxSearchPasses)
         return std::nullopt;
-    const auto [chain, next] =
-        table.chainAfter(Model::flowHash(flow), header.chain, header.ranksBefore);
+    const auto [chain, next] = table.chainAfter(Model::flowHash(flow), header.chain,
+                                                header.ranksBefore, !header.originContinues);
     if (chain.isEmpty())
         return std::nullopt;
     Tunnel::PacketHeader forwarded = header;
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -233,7 +233,8 @@
 };
 
 /// Continues a search at the end of its chain with the instances of \a table that were not tried
-/// yet. Returns nothing if all were tried or the packet was forwarded MaxSearchPasses times.
+/// yet; without suspect ones if the origin continues with other services. Returns nothing if all
+/// were tried or the packet was forwarded MaxSearchPasses times.
 std::optional<Tunnel::PacketHeader> continueSearch(const Routing::ServiceTable &table,
                                                    const Tunnel::PacketHeader &header,
                                                    const Model::FlowKey &flow);
--- /dev/null
+++ b/src/libs/flows/ownersearch.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "routing/routingtable.h"
+#include "tunnel/datagram.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Flows {
+
+/// Maximum number of services that one packet asks for the owner of its flow.
+constexpr std::uint8_t MaxSearchedServices = 32;
+
+/// Send the packet to the first agent of \c header.chain, which belongs to \c service.
+struct AskService
+{
+    Model::ServiceId service{};
+    Tunnel::PacketHeader header;
+};
+
+/// All services were asked.
+struct SearchEnded
+{
+    bool isUncertain = false; ///< an agent that may own the flow was not asked
+};
+
+using SearchStep = std::variant<AskService, SearchEnded>;
+
+/// Returns the next step of a search for the owner of a flow in several services.
+///
+/// \a owners are the services to ask, in this order, and \a flowHash identifies the flow. \a header
+/// is that of the packet so far. It was returned by \a asked, the service that was asked last; the
+/// search starts if that is not set. Suspect agents are not asked, since a packet that is sent to a
+/// process that does not run is lost. Thread-safe.
+SearchStep askNextService(const std::vector<const Routing::ServiceTable *> &owners,
+                          std::uint64_t flowHash, const Tunnel::PacketHeader &header,
+                          std::optional<Model::ServiceId> asked);
+
+} // namespace Flows
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -30,10 +30,6 @@
 /// How long a flow without packets is remembered: longer than any idle timeout of the deployments.
 static constexpr std::chrono::seconds IdleLimit{60};
 
-/// Time without a change of the roster after which it includes every running owner, so that a flow
-/// without an owner may be reset. Two balancers were asked for their rosters within this time.
-static constexpr std::chrono::milliseconds SettlingTime{2 * Membership::ReportInterval};
-
 /// How long an ended flow is remembered, for retransmissions of its last packets: a caller that
 /// misses an acknowledgement retransmits after 200 ms, 400 ms, 800 ms and then every 1.6 s.
 static constexpr std::chrono::seconds EndedFlowLifetime{10};
@@ -111,6 +107,7 @@
                                        const Tunnel::PacketHeader &header,
                                        const Tunnel::TcpPacket &packet)
 {
+    newestGeneration_ = std::max(newestGeneration_, header.generation);
     const bool wasOwned = director_.owns(packet.flow);
     const Flows::Decision decision =
         director_.onPacket(now, service, header, packet, availability(now));
@@ -129,7 +126,7 @@
         return deliver(now, header, packet);
     if (const auto *forwardToHop = std::get_if<Flows::ForwardToHop>(&decision.verdict)) {
         const Routing::Hop &next = forwardToHop->header.chain[forwardToHop->header.position];
-        return ForwardPacket{{service_, {}, forwardToHop->header}, next.tunnel};
+        return ForwardPacket{{service_, header.generation, forwardToHop->header}, next.tunnel};
     }
     const auto cause = std::get<Flows::Drop>(decision.verdict).cause;
     const bool isFull = cause == Flows::DropCause::NoRoom && isAccepting(now);
@@ -145,10 +142,19 @@
     if (header.originSearches)
         return Flows::DropCause::NoOwner;
     if (const auto continued = Flows::continueSearch(*table_, header, packet.flow))
-        return ForwardPacket{{service_, {}, *continued}, continued->chain[0].tunnel};
-    if (packet.rst || packet.opensFlow() || !isViewComplete(now))
+        return ForwardPacket{{service_, header.generation, *continued}, continued->chain[0].tunnel};
+    if (header.originContinues) {
+        if (!header.origin.isValid())
+            return Flows::DropCause::NoOwner;
+        Tunnel::PacketHeader returned = header;
+        returned.isUncertain |= !isViewComplete(now);
+        return ReturnToOrigin{{service_, header.generation, returned}, header.origin};
+    }
+    // A balancer with an older configuration does not know all services that may own the flow.
+    const bool isOutdated = header.generation < newestGeneration_;
+    if (packet.rst || packet.opensFlow() || isOutdated || !isViewComplete(now))
         return Flows::DropCause::NoOwner;
-    return ResetFlow{packet.flow, packet.acknowledgement};
+    return ResetFlow{packet.flow, packet.acknowledgement, {options_.self.instance.service}};
 }
 
 /// Whether the roster has not changed for SettlingTime and no instance of the service is suspect:
@@ -262,6 +268,8 @@
                                              : Routing::PacketKind::ContinuesFlow;
         header.chain = table_->chainFor(Model::flowHash(packet.flow), kind);
         header.opensFlow = packet.opensFlow();
+        // Only the origin knows which other services may own the flow.
+        header.originSearches = true;
         if (header.chain.isEmpty())
             return Flows::DropCause::NoOwner;
     }
@@ -342,7 +350,7 @@
     for (const Model::FlowKey &flow : director_.ownedFlows()) {
         const auto flowState = flowStates_.find(flow);
         if (flowState != flowStates_.end() && flowState->second.since < resetBefore)
-            resets_.push_back({flow, flowState->second.acknowledgement});
+            resets_.push_back({flow, flowState->second.acknowledgement, {}});
         director_.onFlowRemoved(flow);
     }
     flowStates_.clear();
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -62,8 +62,17 @@
 struct HoldPacket
 {};
 
-using AgentVerdict = std::variant<DeliverToBackend, SendToCaller, ForwardPacket, ResetFlow,
-                                  HoldPacket, Flows::DropCause>;
+/// Send the packet back to \c receiver, the balancer that sent it, behind the header in
+/// \c datagram: no agent of this service owns the flow, and that balancer knows which other
+/// services may.
+struct ReturnToOrigin
+{
+    Tunnel::Datagram datagram;
+    Model::Endpoint receiver;
+};
+
+using AgentVerdict = std::variant<DeliverToBackend, SendToCaller, ForwardPacket, ReturnToOrigin,
+                                  ResetFlow, HoldPacket, Flows::DropCause>;
 
 /// A flow whose held packet is to be delivered now, marked with \c mark.
 struct AdmittedFlow
@@ -216,6 +225,7 @@
     TimePoint started_;
     TimePoint unknownFlowsSince_; ///< the latest time from which unknown flows may be held
     std::optional<TimePoint> lastRosterChange_; ///< latest change of the roster by a balancer
+    Model::Generation newestGeneration_{};      ///< of the balancers that sent packets
     TimePoint lastHeartbeat_;                   ///< latest heartbeat that was accepted
     TimePoint lastBackendActivity_;          ///< latest packet or heartbeat of the backend server
     std::optional<TimePoint> unansweredSyn_; ///< first SYN delivered after lastBackendActivity_
--- a/src/libs/forwarding/agenttraffic.h
+++ b/src/libs/forwarding/agenttraffic.h
@@ -186,6 +186,11 @@
             std::vector<std::byte> &header = headers_[headerCount_++];
             Tunnel::encodeDatagram(forwardPacket->datagram, header);
             toPeers_.add(header, bytes, forwardPacket->receiver);
+        } else if (const auto *returned = std::get_if<ReturnToOrigin>(&verdict)) {
+            ++counters_.passedOn;
+            std::vector<std::byte> &header = headers_[headerCount_++];
+            Tunnel::encodeDatagram(returned->datagram, header);
+            toPeers_.add(header, bytes, returned->receiver);
         } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
             sendReset(*reset);
         } else if (std::holds_alternative<HoldPacket>(verdict)) {
@@ -226,7 +231,7 @@
     void sendResets()
     {
         for (const ResetFlow &reset : core_.takeResets()) {
-            logReset(reset, "backend-ended");
+            logReset(reset, "backend-ended", {});
             sendReset(reset);
         }
     }
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/balancercore.h"
 
+#include "flows/ownersearch.h"
+
 #include <algorithm>
 
 namespace Forwarding {
@@ -23,29 +25,68 @@
         return "unknown-route";
     case BalancerDrop::NoAgent:
         return "no-agent";
+    case BalancerDrop::NoOwner:
+        return "no-owner";
     }
     return "unknown";
 }
 
-BalancerCore::BalancerCore(TimePoint now, const Tunnel::Member &self)
-    : self_(self)
-    , roster_(self)
-    , agentSelector_(self.instance.failureDomain)
+BalancerCore::BalancerCore(TimePoint now, const Options &options)
+    : self_(options.self)
+    , roster_(options.self)
+    , agentSelector_(options.self.instance.failureDomain)
     , lostFlowSearch_(now)
-    , reportScheduler_(self.instance.failureDomain)
+    , reportScheduler_(options.self.instance.failureDomain)
+    , routeHistory_(now, options.isFirstStart, options.maxFlowAge)
     , table_(std::make_shared<Routing::RoutingTable>())
+    , isFirstStart_(options.isFirstStart)
     , started_(now)
 {}
 
-void BalancerCore::setConfiguration(const Model::Configuration &configuration)
+std::vector<OutgoingDatagram>
+BalancerCore::setConfiguration(TimePoint now, const Model::Configuration &configuration,
+                               Routing::Succession succession)
 {
     for (const Model::Route &route : configuration_.routes)
         formerRoutes_.insert(route.address);
+    routeHistory_.onConfiguration(now, configuration_, configuration, succession);
     configuration_ = configuration;
     for (const Model::Route &route : configuration_.routes)
         formerRoutes_.erase(route.address);
+    mergeRecord(now);
+    rebuild();
+    return reportsToBalancers(report());
+}
+
+/// Whether all targets that may own open flows are known: the former ones, and those of the newest
+/// configuration.
+bool BalancerCore::knowsAllTargets() const
+{
+    return routeHistory_.isComplete() && !newerConfiguration();
+}
+
+void BalancerCore::setRecordedTargets(TimePoint now, Model::Generation generation,
+                                      const Routing::FormerTargets &targets)
+{
+    recordedTargets_.emplace(generation, targets);
+    mergeRecord(now);
+    rebuild();
+}
+
+/// Uses the recorded targets if they belong to the configuration in force. Those of an earlier one
+/// lack the targets that were replaced since.
+void BalancerCore::mergeRecord(TimePoint now)
+{
+    if (!recordedTargets_ || recordedTargets_->first != configuration_.generation)
+        return;
+    routeHistory_.merge(now, recordedTargets_->second);
+    recordedTargets_.reset();
+}
+
+void BalancerCore::onRosterChanged(TimePoint now)
+{
+    lastRosterChange_ = now;
     rebuild();
-    reportScheduler_.onUrgentChange();
 }
 
 void BalancerCore::rebuild()
@@ -55,7 +96,8 @@
     for (Model::Instance &agent : agents)
         agent.incarnation = {};
     agentSelector_.retainOnly(agents);
-    table_ = Routing::RoutingTable::build(configuration_, agents, *table_, ++tableVersion_);
+    table_ = Routing::RoutingTable::build(configuration_, agents, *table_, ++tableVersion_,
+                                          routeHistory_.former());
 }
 
 std::optional<BalancerCore::NewerConfiguration> BalancerCore::newerConfiguration() const
@@ -71,11 +113,11 @@
 {
     std::vector<Model::Endpoint> tunnels;
     std::vector<Membership::DirectoryEntry> others;
-    lastKnownNames_.emplace();
+    lastKnownServices_.emplace();
     for (const Membership::DirectoryEntry &member : members) {
         if (member.name == self_.instance.name)
             continue;
-        lastKnownNames_->insert(member.name);
+        lastKnownServices_->emplace(member.name, Model::serviceId(member.service));
         tunnels.push_back(member.tunnel);
         others.push_back(member);
     }
@@ -86,22 +128,41 @@
 std::vector<ResetFlow> BalancerCore::takeLostFlows(TimePoint now)
 {
     std::vector<ResetFlow> resets;
-    for (const auto &[flow, acknowledgement] : lostFlowSearch_.takeLost(now))
-        resets.push_back({flow, acknowledgement});
+    for (const auto &[lost, services] : lostFlowSearch_.takeLost(now)) {
+        ResetFlow reset{lost.flow, lost.acknowledgement, {}};
+        for (const Model::ServiceId service : services) {
+            const auto *const table = table_->findById(service);
+            reset.servicesAsked.push_back(table ? table->service().name : "unknown");
+        }
+        resets.push_back(std::move(reset));
+    }
     return resets;
 }
 
+Tunnel::PacketHeader BalancerCore::newHeader() const
+{
+    Tunnel::PacketHeader header;
+    header.origin = self_.instance.tunnel;
+    header.generation = configuration_.generation;
+    return header;
+}
+
+BalancerVerdict BalancerCore::send(Model::ServiceId service,
+                                   const Tunnel::PacketHeader &header) const
+{
+    if (header.chain.isEmpty())
+        return BalancerDrop::NoAgent;
+    return ForwardPacket{{service, header.generation, header}, header.chain[0].tunnel};
+}
+
 BalancerVerdict BalancerCore::send(Model::ServiceId service, const Routing::Chain &chain,
                                    bool opensFlow, bool isSearched)
 {
-    if (chain.isEmpty())
-        return BalancerDrop::NoAgent;
-    Tunnel::PacketHeader header;
+    Tunnel::PacketHeader header = newHeader();
     header.chain = chain;
     header.opensFlow = opensFlow;
-    header.origin = self_.instance.tunnel;
     header.originSearches = isSearched;
-    return ForwardPacket{{service, configuration_.generation, header}, chain[0].tunnel};
+    return send(service, header);
 }
 
 BalancerVerdict BalancerCore::onCallerPacket(TimePoint now, const Tunnel::TcpPacket &packet)
@@ -149,50 +210,182 @@
     }
 }
 
+/// Returns the agents of \a cached that run, and belong to \a service.
+static Routing::Chain runningAgents(const FlowCache::Entry &cached,
+                                    const Routing::ServiceTable &service)
+{
+    Routing::Chain chain;
+    for (const Routing::Hop &agent : cached.agents) {
+        if (service.isRunning(agent.instance))
+            chain.append(agent);
+    }
+    return chain;
+}
+
 /// Whether \a agent did not run before this balancer started. Without the directory, that is not
 /// known until the agents of a system that starts had time to report.
 bool BalancerCore::isJoining(TimePoint now, const Tunnel::Member &agent) const
 {
-    if (lastKnownNames_)
-        return !lastKnownNames_->contains(agent.instance.name);
+    if (lastKnownServices_)
+        return !lastKnownServices_->contains(agent.instance.name);
     return now - started_ >= Membership::DirectoryWriteDelay;
 }
 
 /// Searches for the owner of an open flow that this balancer does not know, in case it was lost.
-/// Returns whether the search can decide, so that agents need not pass the packet on.
-bool BalancerCore::searchOwner(TimePoint now, const Tunnel::TcpPacket &packet)
+/// \a service is the first one to ask. Returns whether the search can decide, so that agents need
+/// not pass the packet on.
+bool BalancerCore::searchOwner(TimePoint now, const Tunnel::TcpPacket &packet,
+                               const Routing::ServiceTable *service)
 {
+    const Model::Endpoint &address = packet.flow.service;
     std::set<Model::ServiceId> services;
-    for (const auto *const table : table_->tablesAt(packet.flow.service))
+    const auto hash = Model::flowHash(packet.flow);
+    for (const auto *const table : table_->knownOwners(packet.flow.service, hash, service))
         services.insert(table->id());
+    // The agents of other services may not have reported yet.
+    if (!knowsAllTargets())
+        services.merge(lostFlowSearch_.services());
     return lostFlowSearch_.search(now, {packet.flow, packet.acknowledgement}, std::move(services));
 }
 
+/// Returns the table of the service to which \a cached assigns the flow of \a packet, or else of
+/// the one that the configuration selects; null if there is none.
+const Routing::ServiceTable *BalancerCore::tableFor(const FlowCache::Entry *cached,
+                                                    const Tunnel::TcpPacket &packet) const
+{
+    const auto *const selected =
+        table_->pickByWeight(packet.flow.service, Model::flowHash(packet.flow));
+    if (!cached || (selected && selected->id() == cached->service))
+        return selected;
+    const auto *const table = table_->findById(cached->service);
+    return table ? table : selected;
+}
+
 BalancerVerdict BalancerCore::onFlowPacket(TimePoint now, const Tunnel::TcpPacket &packet)
 {
+    const Model::Endpoint &address = packet.flow.service;
     const std::uint64_t hash = Model::flowHash(packet.flow);
-    const auto *service = table_->pickByWeight(packet.flow.service, hash);
-    if (!service) {
+    if (!table_->hasRoute(address)) {
         cache_.forget(packet.flow);
-        if (formerRoutes_.contains(packet.flow.service) && !packet.rst)
+        if (formerRoutes_.contains(address) && !packet.rst)
             return ResetFlow{packet.flow, packet.acknowledgement};
         return BalancerDrop::UnknownRoute;
     }
+    const FlowCache::Entry *const cached = cache_.find(now, packet.flow);
+    const auto *const service = tableFor(cached, packet);
+    const bool isSearched = !cached && service && !packet.rst && searchOwner(now, packet, service);
+    const bool isCertain = knowsAllTargets() && table_->isSettled(address)
+                           && service == table_->pickByWeight(address, hash);
+    if (!isCertain && !isSearched)
+        return askServices(now, packet, newHeader(), std::nullopt);
+    if (!service)
+        return BalancerDrop::NoAgent;
     Routing::Chain chain;
+    if (cached)
+        chain = runningAgents(*cached, *service);
+    appendMissing(chain, service->chainFor(hash, Routing::PacketKind::ContinuesFlow));
+    return send(service->id(), chain, false, isSearched);
+}
+
+BalancerVerdict BalancerCore::onUnownedPacket(TimePoint now, Model::ServiceId service,
+                                              const Tunnel::PacketHeader &header,
+                                              const Tunnel::TcpPacket &packet)
+{
+    if (!table_->hasRoute(packet.flow.service))
+        return onFlowPacket(now, packet);
+    return askServices(now, packet, header, service);
+}
+
+/// Sends \a packet to the next service that may own its flow. \a asked is the service whose agents
+/// were asked last, if any. If no service is left, resets the flow, provided that every agent that
+/// may own it was asked.
+BalancerVerdict BalancerCore::askServices(TimePoint now, const Tunnel::TcpPacket &packet,
+                                          const Tunnel::PacketHeader &header,
+                                          std::optional<Model::ServiceId> asked)
+{
+    const std::uint64_t hash = Model::flowHash(packet.flow);
     const FlowCache::Entry *const cached = cache_.find(now, packet.flow);
-    if (cached) {
-        for (const auto *const table : table_->tablesAt(packet.flow.service)) {
-            if (table->id() == cached->service)
-                service = table;
-        }
-        for (const Routing::Hop &agent : cached->agents) {
-            if (service->isRunning(agent.instance))
-                chain.append(agent);
+    const auto *const first = tableFor(cached, packet);
+    const auto owners = knowsAllTargets()
+                            ? table_->knownOwners(packet.flow.service, hash, first)
+                            : table_->possibleOwners(packet.flow.service, hash, first);
+    const auto step = Flows::askNextService(owners, hash, header, asked);
+    if (const auto *next = std::get_if<Flows::AskService>(&step)) {
+        Tunnel::PacketHeader forwarded = next->header;
+        forwarded.generation = configuration_.generation;
+        if (cached && next->service == cached->service) {
+            forwarded.chain = runningAgents(*cached, *first);
+            appendMissing(forwarded.chain, next->header.chain);
         }
+        return send(next->service, forwarded);
     }
-    appendMissing(chain, service->chainFor(hash, Routing::PacketKind::ContinuesFlow));
-    const bool isSearched = !cached && !packet.rst && searchOwner(now, packet);
-    return send(service->id(), chain, false, isSearched);
+    const bool isUncertain = std::get<Flows::SearchEnded>(step).isUncertain;
+    if (owners.empty())
+        return BalancerDrop::NoAgent;
+    if (isUncertain || !isViewComplete(now, owners))
+        return askSuspect(now, packet, owners);
+    if (packet.rst)
+        return BalancerDrop::NoOwner;
+    ResetFlow reset{packet.flow, packet.acknowledgement, {}};
+    for (const auto *const owner : owners)
+        reset.servicesAsked.push_back(owner->service().name);
+    return reset;
+}
+
+/// Sends \a packet to a suspect agent of \a owners, each time to another one: it may run after
+/// all.
+BalancerVerdict BalancerCore::askSuspect(TimePoint now, const Tunnel::TcpPacket &packet,
+                                         const std::vector<const Routing::ServiceTable *> &owners)
+{
+    std::vector<std::pair<Model::ServiceId, Routing::Hop>> suspects;
+    for (const auto *const owner : owners) {
+        for (const Routing::Hop &hop : owner->suspectInstances())
+            suspects.emplace_back(owner->id(), hop);
+    }
+    if (suspects.empty())
+        return BalancerDrop::NoOwner;
+    auto chosen = suspects.begin() + std::ptrdiff_t(suspectsAsked_++ % suspects.size());
+    if (const FlowCache::Entry *const cached = cache_.find(now, packet.flow)) {
+        const auto known = std::find_if(suspects.begin(), suspects.end(), [&](const auto &suspect) {
+            return suspect.second.instance == cached->agents[0].instance;
+        });
+        if (known != suspects.end())
+            chosen = known;
+    }
+    const auto &[service, hop] = *chosen;
+    Tunnel::PacketHeader header = newHeader();
+    header.chain.append(hop);
+    header.passes = 1;
+    header.originSearches = true;
+    return send(service, header);
+}
+
+/// Whether every agent of \a owners that may own a flow is known: the roster has not changed for
+/// SettlingTime, no agent is suspect, and all that ran before this process started are back or
+/// count as lost.
+bool BalancerCore::isViewComplete(TimePoint now,
+                                  const std::vector<const Routing::ServiceTable *> &owners) const
+{
+    if (!lastRosterChange_ || now - *lastRosterChange_ < SettlingTime)
+        return false;
+    if (std::any_of(owners.begin(), owners.end(),
+                    [](const auto *owner) { return !owner->suspectInstances().empty(); }))
+        return false;
+    if (isFirstStart_ || now - started_ >= Membership::RemovalTimeout)
+        return true;
+    if (!lastKnownServices_)
+        return false;
+    std::set<std::string> present;
+    for (const Model::Instance &agent : roster_.agents())
+        present.insert(agent.name);
+    return std::all_of(
+        lastKnownServices_->begin(), lastKnownServices_->end(), [&](const auto &member) {
+            const auto &[name, service] = member;
+            const bool mayOwn = std::any_of(owners.begin(), owners.end(), [&](const auto *owner) {
+                return owner->id() == service;
+            });
+            return !mayOwn || present.contains(name);
+        });
 }
 
 std::vector<OutgoingDatagram> BalancerCore::onDatagram(TimePoint now,
@@ -206,7 +399,7 @@
         if (report->sender.role == Tunnel::Role::Agent)
             agentSelector_.onReport(now, *report, isJoining(now, report->sender));
         if (roster_.onReport(now, *report)) {
-            rebuild();
+            onRosterChanged(now);
             reportScheduler_.onUrgentChange();
         }
         if (report->wantsRoster && report->rosterDigest != roster_.digestFor(report->sender)) {
@@ -216,7 +409,7 @@
         }
     } else if (const auto *part = std::get_if<Tunnel::RosterPart>(&datagram.content)) {
         if (roster_.onRosterPart(now, *part))
-            rebuild();
+            onRosterChanged(now);
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         for (const Tunnel::ClaimedFlow &flow : redirects->flows)
             cache_.onOwned(now, flow.key, datagram.service, redirects->owner);
@@ -243,6 +436,8 @@
         roster_.onPaused(std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTick_));
     lastTick_ = now;
     if (roster_.expire(now))
+        onRosterChanged(now);
+    if (routeHistory_.expire(now))
         rebuild();
     if (now - lastExpiryCheck_ >= ExpiryCheckInterval) {
         lastExpiryCheck_ = now;
@@ -261,17 +456,25 @@
     return outgoing;
 }
 
-std::vector<OutgoingDatagram> BalancerCore::finalReports(TimePoint, bool isPermanent)
+std::vector<OutgoingDatagram> BalancerCore::reportsToBalancers(const Tunnel::Report &report)
 {
     std::vector<OutgoingDatagram> outgoing;
     ++reportNumber_;
     for (const Model::Instance &balancer : roster_.balancers()) {
-        Tunnel::Report last = report();
-        last.sender.instance.state = Model::InstanceState::Suspect;
-        last.isLeaving = isPermanent;
-        outgoing.push_back({balancer.tunnel, {{}, configuration_.generation, std::move(last)}});
+        Tunnel::Report addressed = report;
+        addressed.number = reportNumber_;
+        outgoing.push_back(
+            {balancer.tunnel, {{}, configuration_.generation, std::move(addressed)}});
     }
     return outgoing;
 }
 
+std::vector<OutgoingDatagram> BalancerCore::finalReports(TimePoint, bool isPermanent)
+{
+    Tunnel::Report last = report();
+    last.sender.instance.state = Model::InstanceState::Suspect;
+    last.isLeaving = isPermanent;
+    return reportsToBalancers(last);
+}
+
 } // namespace Forwarding
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -5,15 +5,18 @@
 #include "forwarding/reportscheduler.h"
 #include "membership/roster.h"
 #include "placement/agentselector.h"
+#include "routing/routehistory.h"
 #include "routing/routingtable.h"
 #include "tunnel/tcppacket.h"
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -31,6 +34,7 @@
     NotConfigured, ///< no configuration was received yet
     UnknownRoute,  ///< the address was never configured
     NoAgent,       ///< no agent of the service can take the packet
+    NoOwner,       ///< no agent that was asked owns the flow, but one that was not asked may
 };
 
 /// Returns the name of \a cause in logs and metrics. Thread-safe.
@@ -48,6 +52,7 @@
 {
     Model::FlowKey flow;
     std::uint32_t acknowledgement = 0; ///< the caller's latest; a reset must be close to it
+    std::vector<std::string> servicesAsked = {}; ///< whose agents all deny the flow
 };
 
 using BalancerVerdict = std::variant<ForwardPacket, ResetFlow, BalancerDrop>;
@@ -56,17 +61,32 @@
 ///
 /// A new flow is offered to the agent that is expected to answer first, and each retransmission of
 /// its SYN to another agent. Packets of open flows go to the same agent as before, or else to the
-/// first-ranked one, which has a redirect to the owner or searches for it. Uses no sockets, threads
-/// or clocks; not thread-safe.
+/// first-ranked one, which has a redirect to the owner or searches for it. A flow belongs to its
+/// owner even if the configuration sends new flows to another service by now: where that may be the
+/// case, the packet asks one service after the other. Uses no sockets, threads or clocks; not
+/// thread-safe.
 class BalancerCore
 {
 public:
+    struct Options
+    {
+        Tunnel::Member self;
+        bool isFirstStart = false;          ///< no flow can be older than the whole system
+        std::chrono::seconds maxFlowAge{0}; ///< longest life of a flow; 0: no limit
+    };
+
     /// \a now is when this process started.
-    BalancerCore(TimePoint now, const Tunnel::Member &self);
+    BalancerCore(TimePoint now, const Options &options);
 
     /// Decides on a packet of a caller.
     BalancerVerdict onCallerPacket(TimePoint now, const Tunnel::TcpPacket &packet);
 
+    /// Decides on a caller's packet that an agent of \a service returned with \a header, because no
+    /// agent of that service owns its flow.
+    BalancerVerdict onUnownedPacket(TimePoint now, Model::ServiceId service,
+                                    const Tunnel::PacketHeader &header,
+                                    const Tunnel::TcpPacket &packet);
+
     /// Processes a control datagram of another process, and returns the replies to it.
     std::vector<OutgoingDatagram> onDatagram(TimePoint now, const Tunnel::Datagram &datagram);
 
@@ -77,8 +97,21 @@
     /// permanently if \a isPermanent, or else for a restart.
     std::vector<OutgoingDatagram> finalReports(TimePoint now, bool isPermanent);
 
-    /// Replaces the configuration by \a configuration.
-    void setConfiguration(const Model::Configuration &configuration);
+    /// Replaces the configuration by \a configuration. \a succession is whether other
+    /// configurations may have been in force in between. Returns reports to all balancers, which
+    /// have to be sent before the next packet: packets of the flows that it opens may reach
+    /// balancers that have an older configuration.
+    std::vector<OutgoingDatagram> setConfiguration(TimePoint now,
+                                                   const Model::Configuration &configuration,
+                                                   Routing::Succession succession);
+
+    /// Sets the former targets that a balancer recorded while the configuration with \a generation
+    /// was in force. They are used once that is in force here.
+    void setRecordedTargets(TimePoint now, Model::Generation generation,
+                            const Routing::FormerTargets &targets);
+
+    /// Returns the former targets that may own open flows, as far as they are known.
+    Routing::FormerTargets formerTargets() const { return routeHistory_.former(); }
 
     /// Sets the addresses of balancers that get reports until the roster contains them.
     void setSeeds(std::vector<Model::Endpoint> seeds)
@@ -119,10 +152,26 @@
     BalancerVerdict onFlowPacket(TimePoint now, const Tunnel::TcpPacket &packet);
     BalancerVerdict send(Model::ServiceId service, const Routing::Chain &chain, bool opensFlow,
                          bool isSearched = false);
+    BalancerVerdict send(Model::ServiceId service, const Tunnel::PacketHeader &header) const;
+    Tunnel::PacketHeader newHeader() const;
+    const Routing::ServiceTable *tableFor(const FlowCache::Entry *cached,
+                                          const Tunnel::TcpPacket &packet) const;
+    BalancerVerdict askServices(TimePoint now, const Tunnel::TcpPacket &packet,
+                                const Tunnel::PacketHeader &header,
+                                std::optional<Model::ServiceId> asked);
+    BalancerVerdict askSuspect(TimePoint now, const Tunnel::TcpPacket &packet,
+                               const std::vector<const Routing::ServiceTable *> &owners);
+    bool isViewComplete(TimePoint now,
+                        const std::vector<const Routing::ServiceTable *> &owners) const;
     bool isJoining(TimePoint now, const Tunnel::Member &agent) const;
-    bool searchOwner(TimePoint now, const Tunnel::TcpPacket &packet);
+    bool searchOwner(TimePoint now, const Tunnel::TcpPacket &packet,
+                     const Routing::ServiceTable *service);
+    void mergeRecord(TimePoint now);
+    void onRosterChanged(TimePoint now);
     void rebuild();
+    bool knowsAllTargets() const;
     Tunnel::Report report() const;
+    std::vector<OutgoingDatagram> reportsToBalancers(const Tunnel::Report &report);
 
     Tunnel::Member self_;
     Membership::Roster roster_;
@@ -133,10 +182,16 @@
     Model::Configuration configuration_;
     NewerConfiguration newest_;
     std::set<Model::Endpoint> formerRoutes_; ///< only in earlier configurations
+    Routing::RouteHistory routeHistory_;
+    std::optional<std::pair<Model::Generation, Routing::FormerTargets>> recordedTargets_;
     std::shared_ptr<const Routing::RoutingTable> table_;
-    std::optional<std::set<std::string>> lastKnownNames_; ///< members before the start, if known
+    std::optional<std::map<std::string, Model::ServiceId>>
+        lastKnownServices_; ///< of the members before the start by name, if known
+    std::optional<TimePoint> lastRosterChange_;
+    std::size_t suspectsAsked_ = 0;
     std::uint64_t tableVersion_ = 0;
     std::uint64_t reportNumber_ = 0;
+    bool isFirstStart_;
     TimePoint started_;
     TimePoint lastTick_;
     TimePoint lastExpiryCheck_;
--- a/src/libs/forwarding/balancertraffic.h
+++ b/src/libs/forwarding/balancertraffic.h
@@ -18,6 +18,7 @@
     std::atomic<std::uint64_t> forwarded = 0;
     std::atomic<std::uint64_t> resets = 0;
     std::atomic<std::uint64_t> dropped = 0;
+    std::atomic<std::uint64_t> searched = 0; ///< packets that a service returned without an owner
 };
 
 /// Forwards callers' packets to agents as decided by a BalancerCore. Public methods are
@@ -28,16 +29,16 @@
 public:
     struct Options
     {
-        Tunnel::Member self;
+        BalancerCore::Options core;
         Model::Endpoint callers; ///< where callers' packets arrive
     };
 
     /// Binds the sockets. Throws std::system_error if that fails.
     explicit BalancerTraffic(const Options &options)
         : callers_(options.callers)
-        , tunnel_(options.self.instance.tunnel)
+        , tunnel_(options.core.self.instance.tunnel)
         , callerPort_(options.callers.port)
-        , core_(std::chrono::steady_clock::now(), options.self)
+        , core_(std::chrono::steady_clock::now(), options.core)
         , thread_(*this, callers_.descriptor(), tunnel_.descriptor())
     {}
 
@@ -52,6 +53,15 @@
         return use(core_);
     }
 
+    /// Replaces the configuration, and announces that to all balancers; see
+    /// BalancerCore::setConfiguration().
+    void setConfiguration(const Model::Configuration &configuration, Routing::Succession succession)
+    {
+        const std::lock_guard guard(mutex_);
+        control_.send(tunnel_.descriptor(), core_.setConfiguration(std::chrono::steady_clock::now(),
+                                                                   configuration, succession));
+    }
+
     /// Stops forwarding, and announces to all balancers that this process ends: permanently if
     /// \a isPermanent, or else for a restart.
     void stop(bool isPermanent)
@@ -99,7 +109,7 @@
             }
             const Tunnel::TcpPacket segment = callerSegment(*packet);
             const BalancerVerdict verdict = core_.onCallerPacket(now, segment);
-            logDecision(segment, verdict);
+            logDecision(segment, verdict, core_.configuration().generation);
             if (const auto *forwardPacket = std::get_if<ForwardPacket>(&verdict)) {
                 std::vector<std::byte> &header = headers_[headerCount++];
                 Tunnel::encodeDatagram(forwardPacket->datagram, header);
@@ -122,21 +132,52 @@
 
     void processControl(TimePoint now, const Tunnel::ReceiveBatch &batch, std::size_t count)
     {
+        std::size_t headerCount = 0;
         for (std::size_t index = 0; index < count; ++index) {
             const auto received = Tunnel::decodeDatagram(batch.datagram(index));
             if (!received) {
                 ++counters_.unreadable;
                 continue;
             }
-            control_.send(tunnel_.descriptor(), core_.onDatagram(now, received->datagram));
+            const Tunnel::Datagram &datagram = received->datagram;
+            if (const auto *header = std::get_if<Tunnel::PacketHeader>(&datagram.content))
+                continueSearch(now, datagram.service, *header, received->packet,
+                               headers_[headerCount++]);
+            else
+                control_.send(tunnel_.descriptor(), core_.onDatagram(now, datagram));
         }
+        outgoing_.flush(tunnel_.descriptor());
         resetLostFlows(now);
     }
 
+    /// Processes a caller's packet that the agents of \a service returned. \a encoded is used for
+    /// the header with which it is sent on.
+    void continueSearch(TimePoint now, Model::ServiceId service, const Tunnel::PacketHeader &header,
+                        Tunnel::Bytes carried, std::vector<std::byte> &encoded)
+    {
+        const auto packet = Codec::parse(carried);
+        if (!packet) {
+            ++counters_.unreadable;
+            return;
+        }
+        ++counters_.searched;
+        const Tunnel::TcpPacket segment = callerSegment(*packet);
+        const BalancerVerdict verdict = core_.onUnownedPacket(now, service, header, segment);
+        logSearch(segment, core_.table(), service, header, verdict);
+        if (const auto *forwardPacket = std::get_if<ForwardPacket>(&verdict)) {
+            Tunnel::encodeDatagram(forwardPacket->datagram, encoded);
+            outgoing_.add(encoded, carried, forwardPacket->receiver);
+        } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
+            sendReset(*reset);
+        } else {
+            ++counters_.dropped;
+        }
+    }
+
     void resetLostFlows(TimePoint now)
     {
         for (const ResetFlow &reset : core_.takeLostFlows(now)) {
-            logReset(reset, "lost-in-restart");
+            logReset(reset, "lost-in-restart", core_.configuration().generation);
             sendReset(reset);
         }
     }
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -2,6 +2,8 @@
 
 #include "observability/log.h"
 
+#include <fmt/ranges.h>
+
 namespace Forwarding {
 
 using Observability::Level;
@@ -10,6 +12,9 @@
 /// Maximum number of agents that are listed in one line.
 static constexpr std::size_t MaxNamedAgents = 8;
 
+/// Maximum number of services that are listed in one line.
+static constexpr std::size_t MaxNamedServices = 8;
+
 static std::string receiverText(const ForwardPacket &forwardPacket)
 {
     return Model::endpointText(forwardPacket.receiver);
@@ -20,7 +25,8 @@
     return packet.opensFlow() ? "syn" : "flow-packet";
 }
 
-void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict)
+void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict,
+                 Model::Generation generation)
 {
     if (const auto *forwardPacket = std::get_if<ForwardPacket>(&verdict)) {
         if (packet.opensFlow())
@@ -30,7 +36,7 @@
                              {"generation", std::uint64_t(forwardPacket->datagram.generation)},
                              {"agent", receiverText(*forwardPacket)}});
     } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
-        logReset(*reset, "no-route");
+        logReset(*reset, reset->servicesAsked.empty() ? "no-route" : "no-owner", generation);
     } else {
         logDecisionLine(Level::Warning, "packet-dropped",
                         {{"flow", Model::flowText(packet.flow)},
@@ -40,6 +46,27 @@
     }
 }
 
+void logSearch(const Tunnel::TcpPacket &packet, const Routing::RoutingTable &table,
+               Model::ServiceId service, const Tunnel::PacketHeader &header,
+               const BalancerVerdict &verdict)
+{
+    const auto *const asked = table.findById(service);
+    const auto *const forwardPacket = std::get_if<ForwardPacket>(&verdict);
+    const auto *const drop = std::get_if<BalancerDrop>(&verdict);
+    const std::string outcome = forwardPacket ? receiverText(*forwardPacket)
+                                : drop        ? balancerDropText(*drop)
+                                              : "reset";
+    logDecisionLine(Level::Info, "search-continued",
+                    {{"flow", Model::flowText(packet.flow)},
+                     {"asked", asked ? asked->service().name : "unknown"},
+                     {"services", header.servicesAsked},
+                     {"certain", !header.isUncertain},
+                     {"generation", std::uint64_t(header.generation)},
+                     {"outcome", outcome}});
+    if (const auto *reset = std::get_if<ResetFlow>(&verdict))
+        logReset(*reset, "no-owner", table.generation());
+}
+
 void logDecision(const Tunnel::TcpPacket &packet, const Tunnel::PacketHeader &header,
                  const AgentVerdict &verdict)
 {
@@ -54,6 +81,14 @@
                          {"kind", kindText(packet)},
                          {"passes", header.passes},
                          {"agent", receiverText(*forwardPacket)}});
+    } else if (const auto *returned = std::get_if<ReturnToOrigin>(&verdict)) {
+        const auto &search = std::get<Tunnel::PacketHeader>(returned->datagram.content);
+        logDecisionLine(Level::Info, "search-returned",
+                        {{"flow", Model::flowText(packet.flow)},
+                         {"passes", search.passes},
+                         {"certain", !search.isUncertain},
+                         {"generation", std::uint64_t(search.generation)},
+                         {"balancer", Model::endpointText(returned->receiver)}});
     } else if (const auto *cause = std::get_if<Flows::DropCause>(&verdict)) {
         logDecisionLine(Level::Warning, "packet-dropped",
                         {{"flow", Model::flowText(packet.flow)},
@@ -61,7 +96,7 @@
                          {"passes", header.passes},
                          {"cause", Flows::dropCauseText(*cause)}});
     } else if (const auto *reset = std::get_if<ResetFlow>(&verdict)) {
-        logReset(*reset, "no-owner");
+        logReset(*reset, "no-owner", header.generation);
     } else if (std::holds_alternative<HoldPacket>(verdict)) {
         logDecisionLine(Level::Info, "flow-held",
                         {{"flow", Model::flowText(packet.flow)},
@@ -83,7 +118,9 @@
 {
     const auto *const forwardPacket = std::get_if<ForwardPacket>(&verdict);
     const auto *const cause = std::get_if<Flows::DropCause>(&verdict);
+    const auto *const toOrigin = std::get_if<ReturnToOrigin>(&verdict);
     const std::string outcome = forwardPacket ? receiverText(*forwardPacket)
+                                : toOrigin    ? Model::endpointText(toOrigin->receiver)
                                 : cause       ? Flows::dropCauseText(*cause)
                                               : "reset";
     logDecisionLine(
@@ -145,10 +182,16 @@
                     {{"flow", Model::flowText(packet.flow)}, {"sequence", packet.sequence}});
 }
 
-void logReset(const ResetFlow &reset, const char *cause)
+void logReset(const ResetFlow &reset, const char *cause, Model::Generation generation)
 {
+    const auto shown = std::span(reset.servicesAsked)
+                           .first(std::min(reset.servicesAsked.size(), MaxNamedServices));
     logDecisionLine(Level::Warning, "flow-reset",
-                    {{"flow", Model::flowText(reset.flow)}, {"cause", cause}});
+                    {{"flow", Model::flowText(reset.flow)},
+                     {"cause", cause},
+                     {"services", fmt::format("{}", fmt::join(shown, ","))},
+                     {"servicesAsked", reset.servicesAsked.size()},
+                     {"generation", std::uint64_t(generation)}});
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/decisionlog.h
+++ b/src/libs/forwarding/decisionlog.h
@@ -8,8 +8,16 @@
 namespace Forwarding {
 
 /// Logs a balancer's decision that places, refuses or ends a flow, or drops a packet. Packets that
-/// only follow an earlier decision are not logged. Thread-safe, like all functions here.
-void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict);
+/// only follow an earlier decision are not logged. \a generation is that of the configuration in
+/// force. Thread-safe, like all functions here.
+void logDecision(const Tunnel::TcpPacket &packet, const BalancerVerdict &verdict,
+                 Model::Generation generation);
+
+/// Logs a balancer's decision on a packet that the agents of \a service returned with \a header,
+/// because none of them owns its flow. \a table names the services.
+void logSearch(const Tunnel::TcpPacket &packet, const Routing::RoutingTable &table,
+               Model::ServiceId service, const Tunnel::PacketHeader &header,
+               const BalancerVerdict &verdict);
 
 /// Logs an agent's decision on a packet that arrived with \a header, if it accepts, holds, refuses
 /// or ends a flow, finds its owner, or forwards or drops the packet.
@@ -40,7 +48,8 @@
 /// Logs that the backend server reset a flow.
 void logBackendReset(const Tunnel::TcpPacket &packet);
 
-/// Logs a reset that is sent to a caller for \a cause.
-void logReset(const ResetFlow &reset, const char *cause);
+/// Logs a reset that is sent to a caller for \a cause, with the services that were asked for the
+/// flow under the configuration with \a generation; 0 if it doesn't matter.
+void logReset(const ResetFlow &reset, const char *cause, Model::Generation generation);
 
 } // namespace Forwarding
--- a/src/libs/forwarding/lostflowsearch.cpp
+++ b/src/libs/forwarding/lostflowsearch.cpp
@@ -146,15 +146,23 @@
     });
 }
 
-std::vector<LostFlowSearch::LostFlow> LostFlowSearch::takeLost(TimePoint now)
+std::set<Model::ServiceId> LostFlowSearch::services() const
 {
-    std::vector<LostFlow> lost;
+    std::set<Model::ServiceId> services;
+    for (const auto &[service, agents] : agents_)
+        services.insert(service);
+    return services;
+}
+
+std::vector<LostFlowSearch::DeniedFlow> LostFlowSearch::takeLost(TimePoint now)
+{
+    std::vector<DeniedFlow> lost;
     if (searches_.empty() || !isWholeRestart(now))
         return lost;
     std::erase_if(searches_, [&](const auto &entry) {
         const bool isLost = isDeniedByAll(entry.second);
         if (isLost)
-            lost.push_back(entry.second.flow);
+            lost.push_back({entry.second.flow, entry.second.services});
         return isLost;
     });
     return lost;
--- a/src/libs/forwarding/lostflowsearch.h
+++ b/src/libs/forwarding/lostflowsearch.h
@@ -67,8 +67,8 @@
     /// written.
     void onReport(TimePoint now, const Tunnel::Report &report);
 
-    /// Starts or prolongs the search for the owner of \a flow in \a services, the services of its
-    /// address. Returns whether the search can decide; if it can't, nothing is searched for.
+    /// Starts or prolongs the search for the owner of \a flow in \a services, those that may own
+    /// it. Returns whether the search can decide; if it can't, nothing is searched for.
     bool search(TimePoint now, const LostFlow &flow, std::set<Model::ServiceId> services);
 
     /// Ends the search for \a flow.
@@ -81,8 +81,18 @@
     /// Returns the queries that are due now; the answers go to \a asker.
     std::vector<OutgoingDatagram> queries(TimePoint now, const Model::Endpoint &asker);
 
+    /// Returns the services with agents that are known so far.
+    std::set<Model::ServiceId> services() const;
+
+    /// A lost flow and the services whose agents all deny it.
+    struct DeniedFlow
+    {
+        LostFlow lost;
+        std::set<Model::ServiceId> services;
+    };
+
     /// Returns the flows that are lost, and ends the search for them.
-    std::vector<LostFlow> takeLost(TimePoint now);
+    std::vector<DeniedFlow> takeLost(TimePoint now);
 
     std::size_t size() const { return searches_.size(); }
 
--- a/src/libs/forwarding/reportscheduler.h
+++ b/src/libs/forwarding/reportscheduler.h
@@ -32,6 +32,10 @@
 /// How long after its start a process counts as starting.
 constexpr std::chrono::seconds StartupDuration{3};
 
+/// Time without a change of the roster after which it includes every running owner, so that a flow
+/// without an owner may be reset. Two balancers were asked for their rosters within this time.
+constexpr std::chrono::milliseconds SettlingTime{2 * Membership::ReportInterval};
+
 /// Schedules the reports of a process: soon after a change to the balancers of its own failure
 /// domain, and every ReportInterval to all balancers. Not thread-safe.
 class ReportScheduler
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -1,5 +1,7 @@
 #include "routing/routingtable.h"
 
+#include "routing/hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -14,19 +16,10 @@
 
 static constexpr double TwoToThe53 = 9007199254740992.0;
 
-static std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33);
-}
-
 /// Score of weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
 static double score(Model::InstanceId instance, double capacity, std::size_t bucket)
 {
-    const std::uint64_t bits = mix(std::uint64_t(instance) ^ mix(bucket + 1));
+    const std::uint64_t bits = mixedHash(std::uint64_t(instance) ^ mixedHash(bucket + 1));
     const double uniform = (double(bits >> 11) + 0.5) / TwoToThe53;
     return -capacity / std::log(uniform);
 }
@@ -171,6 +164,17 @@
 }
 
 Chain ServiceTable::chainFor(std::uint64_t flowHash, PacketKind kind) const
+{
+    Chain chain = runningChainFor(flowHash, kind);
+    // A suspect instance may still own flows; it is tried after the others.
+    if (kind == PacketKind::ContinuesFlow)
+        appendRanked(chain, buckets_[bucketOf(flowHash)], [](Model::InstanceState state) {
+            return state == Model::InstanceState::Suspect;
+        });
+    return chain;
+}
+
+Chain ServiceTable::runningChainFor(std::uint64_t flowHash, PacketKind kind) const
 {
     const std::size_t bucket = bucketOf(flowHash);
     const bool opensFlow = kind == PacketKind::OpensFlow;
@@ -186,14 +190,19 @@
         chain = {};
     if (chain.isEmpty())
         appendRanked(chain, rankAll(bucket, isWanted), isWanted);
-    // A suspect instance may still own flows; it is tried after the others.
-    if (!opensFlow)
-        appendRanked(chain, buckets_[bucket], [](Model::InstanceState state) {
-            return state == Model::InstanceState::Suspect;
-        });
     return chain;
 }
 
+std::vector<Hop> ServiceTable::suspectInstances() const
+{
+    std::vector<Hop> hops;
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        if (instances_[index].state == Model::InstanceState::Suspect)
+            hops.push_back(hopOf(std::uint16_t(index)));
+    }
+    return hops;
+}
+
 bool ServiceTable::isRunning(Model::InstanceId instance) const
 {
     const auto known = std::find(ids_.begin(), ids_.end(), instance);
@@ -202,7 +211,7 @@
 }
 
 ServiceTable::Continuation ServiceTable::chainAfter(std::uint64_t flowHash, const Chain &tried,
-                                                    std::size_t first) const
+                                                    std::size_t first, bool includesSuspects) const
 {
     const std::size_t bucket = bucketOf(flowHash);
     // Suspect instances are tried last, because a search ends at an instance that isn't running.
@@ -210,8 +219,10 @@
     ranking.reserve(instances_.size());
     for (std::size_t index = 0; index < instances_.size(); ++index) {
         const Model::Instance &instance = instances_[index];
-        ranking.emplace_back(instance.state == Model::InstanceState::Suspect,
-                             -score(ids_[index], instance.capacity, bucket), index);
+        const bool isSuspect = instance.state == Model::InstanceState::Suspect;
+        if (isSuspect && !includesSuspects)
+            continue;
+        ranking.emplace_back(isSuspect, -score(ids_[index], instance.capacity, bucket), index);
     }
     std::sort(ranking.begin(), ranking.end());
 
@@ -235,10 +246,25 @@
            + ids_.size() * sizeof(Model::InstanceId);
 }
 
+/// Returns the table of \a service with \a members, derived from \a before if possible. \a before
+/// may be null.
+static std::shared_ptr<const ServiceTable>
+deriveTable(const std::shared_ptr<const ServiceTable> *before, const Model::Service &service,
+            std::vector<Model::Instance> members)
+{
+    std::sort(members.begin(), members.end(),
+              [](const auto &left, const auto &right) { return left.name < right.name; });
+    if (!before || (*before)->service() != service)
+        return std::make_shared<ServiceTable>(service, std::move(members));
+    if ((*before)->instances() == members)
+        return *before;
+    return std::make_shared<ServiceTable>(**before, std::move(members));
+}
+
 std::shared_ptr<const RoutingTable>
 RoutingTable::build(const Model::Configuration &configuration,
                     const std::vector<Model::Instance> &instances, const RoutingTable &previous,
-                    std::uint64_t version)
+                    std::uint64_t version, const FormerTargets &former)
 {
     std::map<std::string, std::vector<Model::Instance>> byService;
     for (const Model::Instance &instance : instances)
@@ -247,68 +273,103 @@
     auto table = std::make_shared<RoutingTable>();
     table->generation_ = configuration.generation;
     table->version_ = version;
+    table->former_ = former;
     for (const Model::Service &service : configuration.services) {
-        std::vector<Model::Instance> &members = byService[service.name];
-        std::sort(members.begin(), members.end(),
-                  [](const auto &left, const auto &right) { return left.name < right.name; });
-        std::shared_ptr<const ServiceTable> entry;
-        const auto before = previous.byName_.find(service.name);
-        if (before == previous.byName_.end() || before->second->service() != service)
-            entry = std::make_shared<ServiceTable>(service, std::move(members));
-        else if (before->second->instances() == members)
-            entry = before->second;
-        else
-            entry = std::make_shared<ServiceTable>(*before->second, std::move(members));
-        table->byName_.emplace(service.name, std::move(entry));
-        if (service.address.isValid())
-            table->addTarget(service.address, service.name, 1);
+        table->byName_.emplace(service.name, deriveTable(previous.lookUp(service.name), service,
+                                                         std::move(byService[service.name])));
+        byService.erase(service.name);
     }
-    for (const Model::Route &route : configuration.routes) {
-        for (const Model::RouteTarget &target : route.targets)
-            table->addTarget(route.address, target.service, target.weight);
+    for (auto &[name, members] : byService) {
+        Model::Service service;
+        service.name = name;
+        table->unconfigured_.emplace(
+            name, deriveTable(previous.lookUp(name), service, std::move(members)));
     }
+    for (const auto &[address, targets] : targetsByAddress(configuration))
+        table->addTargets(address, targets);
     return table;
 }
 
-void RoutingTable::addTarget(const Model::Endpoint &address, const std::string &service,
-                             std::uint32_t weight)
+void RoutingTable::addTargets(const Model::Endpoint &address, const Targets &targets)
 {
-    const auto table = byName_.find(service);
-    if (table == byName_.end() || weight == 0)
-        return;
-    std::vector<Target> &targets = byAddress_[address];
-    const std::uint64_t weightsBefore = targets.empty() ? 0 : targets.back().cumulativeWeight;
-    targets.push_back({table->second, weightsBefore + weight});
+    std::vector<Target> &entries = byAddress_[address];
+    std::uint64_t cumulativeWeight = 0;
+    for (const Model::RouteTarget &target : targets) {
+        cumulativeWeight += target.weight;
+        entries.push_back({byName_.at(target.service), cumulativeWeight});
+    }
+}
+
+const std::shared_ptr<const ServiceTable> *RoutingTable::lookUp(const std::string &name) const
+{
+    for (const TablesByName *tables : {&byName_, &unconfigured_}) {
+        if (const auto table = tables->find(name); table != tables->end())
+            return &table->second;
+    }
+    return nullptr;
 }
 
 const ServiceTable *RoutingTable::find(const Model::Endpoint &address) const
 {
     const auto entry = byAddress_.find(address);
-    return entry == byAddress_.end() ? nullptr : entry->second.front().table.get();
+    if (entry == byAddress_.end() || entry->second.empty())
+        return nullptr;
+    return entry->second.front().table.get();
 }
 
 const ServiceTable *RoutingTable::pickByWeight(const Model::Endpoint &address,
                                                std::uint64_t flowHash) const
 {
     const auto entry = byAddress_.find(address);
-    if (entry == byAddress_.end())
+    if (entry == byAddress_.end() || entry->second.empty())
         return nullptr;
     const std::vector<Target> &targets = entry->second;
-    const std::uint64_t point = mix(flowHash) % targets.back().cumulativeWeight;
+    const std::uint64_t point = mixedHash(flowHash) % targets.back().cumulativeWeight;
     const auto target = std::upper_bound(
         targets.begin(), targets.end(), point,
         [](std::uint64_t value, const Target &entry) { return value < entry.cumulativeWeight; });
     return target->table.get();
 }
 
-std::vector<const ServiceTable *> RoutingTable::tablesAt(const Model::Endpoint &address) const
+bool RoutingTable::isSettled(const Model::Endpoint &address) const
+{
+    return !former_.byAddress.contains(address);
+}
+
+static void appendIfAbsent(std::vector<const ServiceTable *> &tables, const ServiceTable *table)
+{
+    if (table && std::find(tables.begin(), tables.end(), table) == tables.end())
+        tables.push_back(table);
+}
+
+std::vector<const ServiceTable *> RoutingTable::knownOwners(const Model::Endpoint &address,
+                                                            std::uint64_t flowHash,
+                                                            const ServiceTable *first) const
 {
-    std::vector<const ServiceTable *> tables;
-    if (const auto entry = byAddress_.find(address); entry != byAddress_.end()) {
-        for (const Target &target : entry->second)
-            tables.push_back(target.table.get());
+    std::vector<const ServiceTable *> owners;
+    appendIfAbsent(owners, first);
+    appendIfAbsent(owners, pickByWeight(address, flowHash));
+    if (const auto former = former_.byAddress.find(address); former != former_.byAddress.end()) {
+        for (const Targets &targets : former->second) {
+            if (const auto *table = lookUp(selectService(targets, flowHash)))
+                appendIfAbsent(owners, table->get());
+        }
+    }
+    return owners;
+}
+
+std::vector<const ServiceTable *> RoutingTable::possibleOwners(const Model::Endpoint &address,
+                                                               std::uint64_t flowHash,
+                                                               const ServiceTable *first) const
+{
+    std::vector<const ServiceTable *> owners = knownOwners(address, flowHash, first);
+    for (const TablesByName *tables : {&byName_, &unconfigured_}) {
+        for (const auto &[name, table] : *tables) {
+            if (!table->instances().empty())
+                appendIfAbsent(owners, table.get());
+        }
     }
-    return tables;
+    return owners;
 }
 
 const ServiceTable *RoutingTable::findByName(const std::string &name) const
@@ -317,11 +378,24 @@
     return entry == byName_.end() ? nullptr : entry->second.get();
 }
 
+const ServiceTable *RoutingTable::findById(Model::ServiceId id) const
+{
+    for (const TablesByName *tables : {&byName_, &unconfigured_}) {
+        for (const auto &[name, table] : *tables) {
+            if (table->id() == id)
+                return table.get();
+        }
+    }
+    return nullptr;
+}
+
 std::size_t RoutingTable::memoryBytes() const
 {
     std::size_t bytes = 0;
-    for (const auto &[name, table] : byName_)
-        bytes += table->memoryBytes();
+    for (const TablesByName *tables : {&byName_, &unconfigured_}) {
+        for (const auto &[name, table] : *tables)
+            bytes += table->memoryBytes();
+    }
     return bytes;
 }
 
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -2,6 +2,7 @@
 
 #include "model/identity.h"
 #include "model/service.h"
+#include "routing/routehistory.h"
 
 #include <array>
 #include <cstdint>
@@ -78,6 +79,12 @@
     /// it.
     Chain chainFor(std::uint64_t flowHash, PacketKind kind) const;
 
+    /// Does the same without suspect instances.
+    Chain runningChainFor(std::uint64_t flowHash, PacketKind kind) const;
+
+    /// Returns the suspect instances, ordered by name.
+    std::vector<Hop> suspectInstances() const;
+
     /// Returns whether \a instance belongs to the service and is not suspect.
     bool isRunning(Model::InstanceId instance) const;
 
@@ -88,10 +95,11 @@
         std::size_t next = 0; ///< rank at which the search continues after the chain
     };
 
-    /// Returns the next instances from rank \a first on, in any state, that are not in \a tried;
-    /// an empty chain if none is left. Used to find the owner of a flow that no instance of its
-    /// chain owns.
-    Continuation chainAfter(std::uint64_t flowHash, const Chain &tried, std::size_t first) const;
+    /// Returns the next instances from rank \a first on that are not in \a tried; an empty chain if
+    /// none is left. Suspect instances are left out unless \a includesSuspects. Used to find the
+    /// owner of a flow that no instance of its chain owns.
+    Continuation chainAfter(std::uint64_t flowHash, const Chain &tried, std::size_t first,
+                            bool includesSuspects) const;
 
     /// Returns the memory used by the ranking, in bytes.
     std::size_t memoryBytes() const;
@@ -122,26 +130,46 @@
     RoutingTable() = default;
 
     /// Builds the table for \a configuration and \a instances, which shares the tables of unchanged
-    /// services with \a previous. Instances of services that are not in \a configuration are
-    /// ignored. Thread-safe.
-    static std::shared_ptr<const RoutingTable> build(const Model::Configuration &configuration,
-                                                     const std::vector<Model::Instance> &instances,
-                                                     const RoutingTable &previous,
-                                                     std::uint64_t version);
+    /// services with \a previous. Services that are not in \a configuration get no new flows, but
+    /// their instances may own open ones. \a former are the targets of earlier configurations.
+    /// Thread-safe.
+    static std::shared_ptr<const RoutingTable>
+    build(const Model::Configuration &configuration, const std::vector<Model::Instance> &instances,
+          const RoutingTable &previous, std::uint64_t version, const FormerTargets &former = {});
+
+    /// Whether \a address is configured, even if none of its services is. Thread-safe.
+    bool hasRoute(const Model::Endpoint &address) const { return byAddress_.contains(address); }
 
     /// Returns the table of the first service at \a address, or null. Thread-safe.
     const ServiceTable *find(const Model::Endpoint &address) const;
 
     /// Returns the table of the service that the flow with \a flowHash to \a address belongs to,
-    /// selected by the weights of the route; null if there is no route. Thread-safe.
+    /// selected by the weights of the route; null if there is none. Thread-safe.
     const ServiceTable *pickByWeight(const Model::Endpoint &address, std::uint64_t flowHash) const;
 
-    /// Returns the tables of all services that accept flows to \a address. Thread-safe.
-    std::vector<const ServiceTable *> tablesAt(const Model::Endpoint &address) const;
+    /// Whether the known earlier configurations send flows to \a address where pickByWeight() does.
+    /// Thread-safe.
+    bool isSettled(const Model::Endpoint &address) const;
+
+    /// Returns the tables of the services to which the present and the known earlier configurations
+    /// send an open flow to \a address with \a flowHash, in the order in which to ask for its
+    /// owner, with \a first before them unless it is null. Thread-safe.
+    std::vector<const ServiceTable *> knownOwners(const Model::Endpoint &address,
+                                                  std::uint64_t flowHash,
+                                                  const ServiceTable *first) const;
+
+    /// Returns the same tables and then those of all other services with instances, to which other
+    /// configurations may have sent the flow. Thread-safe.
+    std::vector<const ServiceTable *> possibleOwners(const Model::Endpoint &address,
+                                                     std::uint64_t flowHash,
+                                                     const ServiceTable *first) const;
 
     /// Returns the table of the service called \a name, or null. Thread-safe.
     const ServiceTable *findByName(const std::string &name) const;
 
+    /// Returns the table of the service with \a id, configured or not, or null. Thread-safe.
+    const ServiceTable *findById(Model::ServiceId id) const;
+
     Model::Generation generation() const { return generation_; }
     std::uint64_t version() const { return version_; }
     std::size_t serviceCount() const { return byName_.size(); }
@@ -164,11 +192,15 @@
         std::uint64_t cumulativeWeight = 0; ///< sum of the weights of this target and all before it
     };
 
-    void addTarget(const Model::Endpoint &address, const std::string &service,
-                   std::uint32_t weight);
+    using TablesByName = std::map<std::string, std::shared_ptr<const ServiceTable>>;
+
+    void addTargets(const Model::Endpoint &address, const Targets &targets);
+    const std::shared_ptr<const ServiceTable> *lookUp(const std::string &name) const;
 
     std::unordered_map<Model::Endpoint, std::vector<Target>, EndpointHash> byAddress_;
-    std::map<std::string, std::shared_ptr<const ServiceTable>> byName_;
+    TablesByName byName_;       ///< of the configured services
+    TablesByName unconfigured_; ///< of other services with instances
+    FormerTargets former_;
     Model::Generation generation_{};
     std::uint64_t version_ = 0;
 };
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -59,6 +59,9 @@
       originAddress @18 :UInt32; # the balancer that received the packet from the fabric
       originPort @19 :UInt16;
       originSearches @42 :Bool; # that balancer asks all agents for the flow's owner
+      originContinues @43 :Bool; # that balancer asks further services; returned to it at the end
+      isUncertain @44 :Bool;     # an agent that may own the flow could not be asked
+      servicesAsked @45 :UInt8;  # services that were asked before the present one
     }
     redirects :group {
       owner @6 :Hop;
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -774,6 +774,12 @@
 
   inline bool getOriginSearches() const;
 
+  inline bool getOriginContinues() const;
+
+  inline bool getIsUncertain() const;
+
+  inline  ::uint8_t getServicesAsked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -833,6 +839,15 @@
   inline bool getOriginSearches();
   inline void setOriginSearches(bool value);
 
+  inline bool getOriginContinues();
+  inline void setOriginContinues(bool value);
+
+  inline bool getIsUncertain();
+  inline void setIsUncertain(bool value);
+
+  inline  ::uint8_t getServicesAsked();
+  inline void setServicesAsked( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2052,8 +2067,11 @@
   _builder.setDataField< ::uint8_t>(::capnp::bounded<17>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<144>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<145>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<146>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<147>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<19>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint8_t>(::capnp::bounded<25>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
@@ -2405,6 +2423,48 @@
       ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Packet::Reader::getOriginContinues() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Packet::Builder::getOriginContinues() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setOriginContinues(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<146>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Packet::Reader::getIsUncertain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Packet::Builder::getIsUncertain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setIsUncertain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<147>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Datagram::Packet::Reader::getServicesAsked() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Packet::Builder::getServicesAsked() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setServicesAsked( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Redirects::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -44,6 +44,9 @@
     packet.setOriginAddress(header.origin.address);
     packet.setOriginPort(header.origin.port);
     packet.setOriginSearches(header.originSearches);
+    packet.setOriginContinues(header.originContinues);
+    packet.setIsUncertain(header.isUncertain);
+    packet.setServicesAsked(header.servicesAsked);
 }
 
 static void writeFlow(Rpc::FlowEntry::Builder builder, const Model::FlowKey &key)
@@ -228,6 +231,9 @@
     header.ranksBefore = packet.getRanksBefore();
     header.origin = {packet.getOriginAddress(), packet.getOriginPort()};
     header.originSearches = packet.getOriginSearches();
+    header.originContinues = packet.getOriginContinues();
+    header.isUncertain = packet.getIsUncertain();
+    header.servicesAsked = packet.getServicesAsked();
     return header;
 }
 
@@ -278,6 +284,7 @@
         auto header = readPacketHeader(root.getPacket());
         if (!header)
             return std::nullopt;
+        header->generation = datagram.generation;
         datagram.content = *header;
         return datagram;
     }
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -23,6 +23,12 @@
     std::uint8_t ranksBefore = 0; ///< instances ranked before the chain and already tried
     Model::Endpoint origin;       ///< the balancer to notify of the flow's owner; may be invalid
     bool originSearches = false;  ///< the origin asks all agents for the owner; see OwnerQuery
+    /// The flow may belong to another service: an agent at the end of the search returns the packet
+    /// to the origin, which sends it to the next service.
+    bool originContinues = false;
+    bool isUncertain = false;       ///< an agent that may own the flow could not be asked
+    std::uint8_t servicesAsked = 0; ///< services that were asked before the present one
+    Model::Generation generation{}; ///< the origin's configuration; encoded with the datagram
 };
 
 /// Number of owners that a flow has had: 0 while it is half open, 1 with its first owner, and one
