Lost flows after a loss of power are reset as early as before, also right after a change

All balancers then took earlier targets of every route for unknown, so that a flow would count as lost only after the agents of all services had denied it, in place of those of its own service.

Change: the record names the targets of all addresses. After a loss of the whole system (no member that ran on, no backend server that may hold unknown flows) a route whose targets are the same as in the record counts as unchanged.

Test: LossOfPowerInACalmConfigurationAsksNoOtherService now loses the power right after a change of another route; it fails if presumed targets are not used.

--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -121,19 +121,16 @@
     }
 }
 
-/// Makes the next call for the record of former targets, if one is due. \a timeline is the store's.
+/// Makes the next call for the record of targets, if one is due. \a timeline is the store's.
 static void updateRouteRecord(Traffic &traffic, Recorder &recorder, Store::Timeline timeline)
 {
-    const auto [generation, former, isFirst] =
-        traffic.withCore([](const Forwarding::BalancerCore &core) {
-            return std::tuple(core.configuration().generation, core.formerTargets(),
-                              core.roster().isFirstBalancer());
-        });
-    const auto now = std::chrono::steady_clock::now();
-    if (const auto record = recorder.step(now, isFirst, generation, former, timeline)) {
+    const bool isFirst = traffic.withCore([&recorder](const Forwarding::BalancerCore &core) {
+        recorder.update(core);
+        return core.roster().isFirstBalancer();
+    });
+    if (const auto record = recorder.step(std::chrono::steady_clock::now(), isFirst, timeline)) {
         traffic.withCore([&](Forwarding::BalancerCore &core) {
-            core.setRecordedTargets(std::chrono::steady_clock::now(), record->generation,
-                                    record->former);
+            core.setRecordedTargets(std::chrono::steady_clock::now(), *record);
         });
     }
 }
--- a/src/libs/control/routerecord.cpp
+++ b/src/libs/control/routerecord.cpp
@@ -12,23 +12,12 @@
 static constexpr std::chrono::seconds FirstRetryPause = 2 * Membership::DirectoryWriteDelay;
 static constexpr std::chrono::seconds LongestRetryPause{16};
 
-std::string encodeRouteRecord(const RouteRecord &record)
+static json encodeTargets(const Routing::Targets &targets)
 {
-    json byAddress = json::object();
-    for (const auto &[address, lists] : record.former.byAddress) {
-        json &encodedLists = byAddress[Model::endpointText(address)] = json::array();
-        for (const Routing::Targets &targets : lists) {
-            json encoded = json::array();
-            for (const Model::RouteTarget &target : targets)
-                encoded.push_back({target.service, target.weight});
-            encodedLists.push_back(std::move(encoded));
-        }
-    }
-    return json{{"timeline", std::uint64_t(record.timeline)},
-                {"generation", std::uint64_t(record.generation)},
-                {"complete", record.former.isComplete},
-                {"former", std::move(byAddress)}}
-        .dump();
+    json encoded = json::array();
+    for (const Model::RouteTarget &target : targets)
+        encoded.push_back({target.service, target.weight});
+    return encoded;
 }
 
 static Routing::Targets decodeTargets(const json &encoded)
@@ -39,20 +28,44 @@
     return targets;
 }
 
+std::string encodeRouteRecord(const RouteRecord &record)
+{
+    json inForce = json::object();
+    for (const auto &[address, targets] : record.targets.inForce)
+        inForce[Model::endpointText(address)] = encodeTargets(targets);
+    json former = json::object();
+    for (const auto &[address, lists] : record.targets.former) {
+        json &encoded = former[Model::endpointText(address)] = json::array();
+        for (const Routing::Targets &targets : lists)
+            encoded.push_back(encodeTargets(targets));
+    }
+    return json{{"timeline", std::uint64_t(record.timeline)},
+                {"generation", std::uint64_t(record.targets.generation)},
+                {"inForce", std::move(inForce)},
+                {"former", std::move(former)}}
+        .dump();
+}
+
 std::optional<RouteRecord> decodeRouteRecord(const std::string &value)
 {
     try {
         const json content = json::parse(value);
         RouteRecord record;
         record.timeline = Store::Timeline(content.at("timeline").get<std::uint64_t>());
-        record.generation = Model::Generation(content.at("generation").get<std::uint64_t>());
-        record.former.isComplete = content.at("complete").get<bool>();
+        record.targets.generation =
+            Model::Generation(content.at("generation").get<std::uint64_t>());
+        for (const auto &[text, targets] : content.at("inForce").items()) {
+            const auto address = Model::parseEndpoint(text);
+            if (!address)
+                return std::nullopt;
+            record.targets.inForce[*address] = decodeTargets(targets);
+        }
         for (const auto &[text, lists] : content.at("former").items()) {
             const auto address = Model::parseEndpoint(text);
             if (!address)
                 return std::nullopt;
             for (const json &targets : lists)
-                record.former.byAddress[*address].push_back(decodeTargets(targets));
+                record.targets.former[*address].push_back(decodeTargets(targets));
         }
         return record;
     } catch (const json::exception &) {
--- a/src/libs/control/routerecord.h
+++ b/src/libs/control/routerecord.h
@@ -5,21 +5,21 @@
 #include "routing/routehistory.h"
 
 #include <chrono>
+#include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
 
 namespace Control {
 
-/// The former targets that may own open flows while a configuration is in force, as the store keeps
-/// them for processes that start.
+/// The targets that may own open flows, as the store keeps them for processes that start.
 struct RouteRecord
 {
     /// The store's timeline when the record was written. A record of an earlier timeline than the
     /// store's may be a copy that lacks targets.
     Store::Timeline timeline{};
-    Model::Generation generation{}; ///< of the configuration in force
-    Routing::FormerTargets former;
+    Routing::TargetsRecord targets;
 
     bool operator==(const RouteRecord &) const = default;
 };
@@ -48,7 +48,25 @@
     TimePoint next_;
 };
 
-/// Reads and writes the record of former targets in a store, with blocking calls on the caller's
+/// A process whose knowledge of targets is recorded.
+template<typename S>
+concept TargetsSource = requires(const S &source)
+{
+    {
+        source.recordableTargets()
+        } -> std::same_as<std::optional<Routing::TargetsRecord>>;
+    {
+        source.targetsVersion()
+        } -> std::same_as<std::uint64_t>;
+    {
+        source.configuration()
+        } -> std::same_as<const Model::Configuration &>;
+    {
+        source.formerTargets()
+        } -> std::same_as<Routing::FormerTargets>;
+};
+
+/// The record of targets in a store: reads and writes it with blocking calls on the caller's
 /// thread.
 template<Store::ObjectClient Client>
 class RouteRecorder
@@ -61,50 +79,65 @@
                   {"route-record", "addresses",
                    [](const std::string &value) {
                        const auto record = decodeRouteRecord(value);
-                       return record ? record->former.byAddress.size() : 0;
+                       return record ? record->targets.inForce.size() : 0;
                    }},
                   isFirstStart)
     {}
 
+    /// Updates what to record from \a source, if that changed. Not thread-safe.
+    template<TargetsSource S>
+    void update(const S &source)
+    {
+        if (version_ == source.targetsVersion())
+            return;
+        version_ = source.targetsVersion();
+        targets_ = source.recordableTargets();
+        generation_ = source.configuration().generation;
+        isMissing_ = !source.formerTargets().isComplete;
+        encoded_.clear();
+    }
+
     /// Makes the call that is due at \a now, if any. \a isFirstBalancer is whether this process
-    /// writes the record, \a former and \a generation what it should contain, and \a timeline the
-    /// latest timeline of the store that this process knows. A process that may miss targets does
-    /// not write. Returns the record when one of the store's timeline was read. Not thread-safe.
-    std::optional<RouteRecord> step(std::chrono::steady_clock::time_point now, bool isFirstBalancer,
-                                    Model::Generation generation,
-                                    const Routing::FormerTargets &former, Store::Timeline timeline)
+    /// writes the record, and \a timeline the latest timeline of the store that this process knows.
+    /// A process that may miss targets does not write. Returns the record when one of the store's
+    /// timeline was read. Not thread-safe.
+    std::optional<Routing::TargetsRecord> step(std::chrono::steady_clock::time_point now,
+                                               bool isFirstBalancer, Store::Timeline timeline)
     {
-        if (generation == Model::Generation{})
+        if (generation_ == Model::Generation{})
             return std::nullopt;
-        if (retryPolicy_.isDue(now, !former.isComplete, generation))
+        if (retryPolicy_.isDue(now, isMissing_, generation_))
             object_.invalidate();
         const auto found = object_.step(
-            now, isFirstBalancer && former.isComplete,
-            [&](Store::Timeline latest) {
-                return encode({latest, generation, former});
-            },
+            now, isFirstBalancer && targets_.has_value(),
+            [this](Store::Timeline latest) -> const std::string & { return encode(latest); },
             timeline);
         if (!found)
             return std::nullopt;
-        auto record = decodeRouteRecord(found->value);
-        return record && record->timeline == found->timeline ? record : std::nullopt;
+        const auto record = decodeRouteRecord(found->value);
+        if (!record || record->timeline != found->timeline)
+            return std::nullopt;
+        return record->targets;
     }
 
 private:
-    /// Returns the encoded \a record, which rarely changes between two steps.
-    const std::string &encode(RouteRecord record)
+    const std::string &encode(Store::Timeline timeline)
     {
-        if (encoded_.empty() || record != record_) {
-            record_ = std::move(record);
-            encoded_ = encodeRouteRecord(record_);
+        if (targets_ && (encoded_.empty() || timeline != encodedTimeline_)) {
+            encodedTimeline_ = timeline;
+            encoded_ = encodeRouteRecord({timeline, *targets_});
         }
         return encoded_;
     }
 
     SharedObject<Client> object_;
     RecordRetryPolicy retryPolicy_;
-    RouteRecord record_;
-    std::string encoded_; ///< of record_
+    std::optional<std::uint64_t> version_; ///< of the source at the latest update
+    std::optional<Routing::TargetsRecord> targets_;
+    Model::Generation generation_{};
+    bool isMissing_ = false;
+    std::string encoded_;
+    Store::Timeline encodedTimeline_{};
 };
 
 } // namespace Control
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -6,6 +6,8 @@
 
 namespace Forwarding {
 
+using Knowledge = Routing::RoutingTable::Knowledge;
+
 /// How long a flow without packets is cached if the configuration sets no limit.
 static constexpr std::chrono::seconds DefaultIdleTimeout{60};
 
@@ -53,34 +55,57 @@
     configuration_ = configuration;
     for (const Model::Route &route : configuration_.routes)
         formerRoutes_.erase(route.address);
-    mergeRecord(now);
+    mergeRecord(now, false);
     rebuild();
     return reportsToBalancers(report());
 }
 
-/// Whether all targets that may own open flows are known: the former ones, and those of the newest
-/// configuration.
-bool BalancerCore::knowsAllTargets() const
+/// Returns what is known about the earlier configurations of \a address, and about newer ones that
+/// other balancers may have used already.
+Knowledge BalancerCore::knowledgeOf(const Model::Endpoint &address) const
 {
-    return routeHistory_.isComplete() && !newerConfiguration();
+    if (newerConfiguration())
+        return Knowledge::Unknown;
+    const Knowledge knowledge = table_->knowledgeOf(address);
+    const bool isPresumed = knowledge == Knowledge::Unknown && presumedUnchanged_.contains(address)
+                            && lostFlowSearch_.isWholeLoss();
+    return isPresumed ? Knowledge::Unchanged : knowledge;
 }
 
-void BalancerCore::setRecordedTargets(TimePoint now, Model::Generation generation,
-                                      const Routing::FormerTargets &targets)
+void BalancerCore::setRecordedTargets(TimePoint now, const Routing::TargetsRecord &record)
 {
-    recordedTargets_.emplace(generation, targets);
-    mergeRecord(now);
+    recordedTargets_ = record;
+    mergeRecord(now, false);
     rebuild();
 }
 
-/// Uses the recorded targets if they belong to the configuration in force. Those of an earlier one
-/// lack the targets that were replaced since.
-void BalancerCore::mergeRecord(TimePoint now)
+std::optional<Routing::TargetsRecord> BalancerCore::recordableTargets() const
+{
+    if (!isConfigured() || !routeHistory_.isComplete())
+        return std::nullopt;
+    return routeHistory_.record(configuration_);
+}
+
+void BalancerCore::mergeRecord(TimePoint now, bool presumesUnchanged)
 {
-    if (!recordedTargets_ || recordedTargets_->first != configuration_.generation)
+    ++targetsVersion_;
+    presumedUnchanged_.clear();
+    if (!recordedTargets_ || !isConfigured())
+        return;
+    routeHistory_.merge(now, *recordedTargets_, configuration_, presumesUnchanged);
+    if (routeHistory_.isComplete()) {
+        recordedTargets_.reset();
         return;
-    routeHistory_.merge(now, recordedTargets_->second);
-    recordedTargets_.reset();
+    }
+    if (now - started_ >= StartupDuration)
+        return;
+    for (const auto &[address, targets] : Routing::targetsByAddress(configuration_)) {
+        const auto recorded = recordedTargets_->inForce.find(address);
+        const bool isSame =
+            recorded != recordedTargets_->inForce.end() && recorded->second == targets;
+        if (isSame && !recordedTargets_->former.contains(address))
+            presumedUnchanged_.insert(address);
+    }
 }
 
 void BalancerCore::onRosterChanged(TimePoint now)
@@ -243,7 +268,7 @@
     for (const auto *const table : table_->knownOwners(packet.flow.service, hash, service))
         services.insert(table->id());
     // The agents of other services may not have reported yet.
-    if (!knowsAllTargets())
+    if (knowledgeOf(packet.flow.service) == Knowledge::Unknown)
         services.merge(lostFlowSearch_.services());
     return lostFlowSearch_.search(now, {packet.flow, packet.acknowledgement}, std::move(services));
 }
@@ -274,7 +299,7 @@
     const FlowCache::Entry *const cached = cache_.find(now, packet.flow);
     const auto *const service = tableFor(cached, packet);
     const bool isSearched = !cached && service && !packet.rst && searchOwner(now, packet, service);
-    const bool isCertain = knowsAllTargets() && table_->isSettled(address)
+    const bool isCertain = knowledgeOf(address) == Knowledge::Unchanged
                            && service == table_->pickByWeight(address, hash);
     if (!isCertain && !isSearched)
         return askServices(now, packet, newHeader(), std::nullopt);
@@ -306,9 +331,9 @@
     const std::uint64_t hash = Model::flowHash(packet.flow);
     const FlowCache::Entry *const cached = cache_.find(now, packet.flow);
     const auto *const first = tableFor(cached, packet);
-    const auto owners = knowsAllTargets()
-                            ? table_->knownOwners(packet.flow.service, hash, first)
-                            : table_->possibleOwners(packet.flow.service, hash, first);
+    const auto owners = knowledgeOf(packet.flow.service) == Knowledge::Unknown
+                            ? table_->possibleOwners(packet.flow.service, hash, first)
+                            : table_->knownOwners(packet.flow.service, hash, first);
     const auto step = Flows::askNextService(owners, hash, header, asked);
     if (const auto *next = std::get_if<Flows::AskService>(&step)) {
         Tunnel::PacketHeader forwarded = next->header;
@@ -437,8 +462,14 @@
     lastTick_ = now;
     if (roster_.expire(now))
         onRosterChanged(now);
-    if (routeHistory_.expire(now))
+    if (recordedTargets_ && !presumedUnchanged_.empty() && now - started_ >= StartupDuration) {
+        mergeRecord(now, lostFlowSearch_.isWholeLoss());
         rebuild();
+    }
+    if (routeHistory_.expire(now)) {
+        ++targetsVersion_;
+        rebuild();
+    }
     if (now - lastExpiryCheck_ >= ExpiryCheckInterval) {
         lastExpiryCheck_ = now;
         const auto idle = configuration_.idleFlowTimeout.count() > 0
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -105,14 +105,21 @@
                                                    const Model::Configuration &configuration,
                                                    Routing::Succession succession);
 
-    /// Sets the former targets that a balancer recorded while the configuration with \a generation
-    /// was in force. They are used once that is in force here.
-    void setRecordedTargets(TimePoint now, Model::Generation generation,
-                            const Routing::FormerTargets &targets);
+    /// Sets the record of targets that a balancer made. It is used if it belongs to the
+    /// configuration in force. After a loss of the whole system, routes that are the same as in an
+    /// earlier record count as unchanged, so that lost flows are found at once: the first balancer
+    /// records each change within a second.
+    void setRecordedTargets(TimePoint now, const Routing::TargetsRecord &record);
 
     /// Returns the former targets that may own open flows, as far as they are known.
     Routing::FormerTargets formerTargets() const { return routeHistory_.former(); }
 
+    /// Returns the targets to record for processes that start, or nothing if some may be missing.
+    std::optional<Routing::TargetsRecord> recordableTargets() const;
+
+    /// Returns a number that changes whenever recordableTargets() may have changed.
+    std::uint64_t targetsVersion() const { return targetsVersion_; }
+
     /// Sets the addresses of balancers that get reports until the roster contains them.
     void setSeeds(std::vector<Model::Endpoint> seeds)
     {
@@ -166,10 +173,10 @@
     bool isJoining(TimePoint now, const Tunnel::Member &agent) const;
     bool searchOwner(TimePoint now, const Tunnel::TcpPacket &packet,
                      const Routing::ServiceTable *service);
-    void mergeRecord(TimePoint now);
+    void mergeRecord(TimePoint now, bool presumesUnchanged);
     void onRosterChanged(TimePoint now);
     void rebuild();
-    bool knowsAllTargets() const;
+    Routing::RoutingTable::Knowledge knowledgeOf(const Model::Endpoint &address) const;
     Tunnel::Report report() const;
     std::vector<OutgoingDatagram> reportsToBalancers(const Tunnel::Report &report);
 
@@ -183,7 +190,9 @@
     NewerConfiguration newest_;
     std::set<Model::Endpoint> formerRoutes_; ///< only in earlier configurations
     Routing::RouteHistory routeHistory_;
-    std::optional<std::pair<Model::Generation, Routing::FormerTargets>> recordedTargets_;
+    std::optional<Routing::TargetsRecord> recordedTargets_;
+    std::set<Model::Endpoint> presumedUnchanged_; ///< according to recordedTargets_
+    std::uint64_t targetsVersion_ = 0;
     std::shared_ptr<const Routing::RoutingTable> table_;
     std::optional<std::map<std::string, Model::ServiceId>>
         lastKnownServices_; ///< of the members before the start by name, if known
--- a/src/libs/forwarding/lostflowsearch.cpp
+++ b/src/libs/forwarding/lostflowsearch.cpp
@@ -146,6 +146,14 @@
     });
 }
 
+bool LostFlowSearch::isWholeLoss() const
+{
+    if (!directoryRead_ || !isDirectoryComplete_ || isSystemRunning_)
+        return false;
+    return std::none_of(members_.begin(), members_.end(),
+                        [](const auto &entry) { return entry.second.mayHoldUnknownFlows; });
+}
+
 std::set<Model::ServiceId> LostFlowSearch::services() const
 {
     std::set<Model::ServiceId> services;
--- a/src/libs/forwarding/lostflowsearch.h
+++ b/src/libs/forwarding/lostflowsearch.h
@@ -81,6 +81,10 @@
     /// Returns the queries that are due now; the answers go to \a asker.
     std::vector<OutgoingDatagram> queries(TimePoint now, const Model::Endpoint &asker);
 
+    /// Whether nothing is known so far that has survived since the directory was written: no
+    /// member, and no backend server. The directory must have been read, and must be complete.
+    bool isWholeLoss() const;
+
     /// Returns the services with agents that are known so far.
     std::set<Model::ServiceId> services() const;
 
--- a/src/libs/routing/routehistory.cpp
+++ b/src/libs/routing/routehistory.cpp
@@ -11,10 +11,10 @@
 /// Time after the first start of the whole system within which no configuration was replaced.
 static constexpr std::chrono::seconds FirstConfigurationLimit{3};
 
-std::map<Model::Endpoint, Targets> targetsByAddress(const Model::Configuration &configuration)
+TargetsByAddress targetsByAddress(const Model::Configuration &configuration)
 {
     std::set<std::string> services;
-    std::map<Model::Endpoint, Targets> byAddress;
+    TargetsByAddress byAddress;
     for (const Model::Service &service : configuration.services) {
         services.insert(service.name);
         if (service.address.isValid())
@@ -61,12 +61,14 @@
 
 void RouteHistory::add(TimePoint now, const Model::Endpoint &address, const Targets &targets)
 {
+    if (targets.empty())
+        return;
     std::vector<Entry> &entries = entries_[address];
     std::erase_if(entries, [&](const Entry &entry) { return entry.targets == targets; });
     entries.insert(entries.begin(), {targets, now});
     if (entries.size() > MaxFormerTargets) {
         entries.pop_back();
-        incompleteSince_ = now;
+        unknown_[address] = now;
     }
 }
 
@@ -83,23 +85,45 @@
     const auto targetsAfter = targetsByAddress(next);
     for (const auto &[address, targets] : targetsByAddress(previous)) {
         const auto after = targetsAfter.find(address);
-        if (after == targetsAfter.end())
-            entries_.erase(address); // flows end with their route
-        else if (after->second != targets && !targets.empty())
+        if (after == targetsAfter.end()) {
+            // Flows end with their route.
+            entries_.erase(address);
+            unknown_.erase(address);
+        } else if (after->second != targets) {
             add(now, address, targets);
+        }
     }
 }
 
-void RouteHistory::merge(TimePoint now, const FormerTargets &known)
+void RouteHistory::merge(TimePoint now, const TargetsRecord &record,
+                         const Model::Configuration &current, bool presumesUnchanged)
 {
-    for (const auto &[address, lists] : known.byAddress) {
-        for (auto targets = lists.rbegin(); targets != lists.rend(); ++targets) {
-            if (!targets->empty())
-                add(now, address, *targets);
+    const bool isUsable = presumesUnchanged ? record.generation <= current.generation
+                                            : record.generation == current.generation;
+    if (isComplete() || !isUsable)
+        return;
+    for (const auto &[address, targets] : targetsByAddress(current)) {
+        const auto recorded = record.inForce.find(address);
+        const bool isUnchanged = recorded != record.inForce.end() && recorded->second == targets;
+        if (const auto former = record.former.find(address); former != record.former.end()) {
+            for (auto list = former->second.rbegin(); list != former->second.rend(); ++list)
+                add(now, address, *list);
         }
+        if (isUnchanged)
+            continue;
+        unknown_[address] = now;
+        if (recorded != record.inForce.end())
+            add(now, address, recorded->second);
     }
-    if (known.isComplete)
-        incompleteSince_.reset();
+    incompleteSince_.reset();
+}
+
+TargetsRecord RouteHistory::record(const Model::Configuration &current) const
+{
+    TargetsRecord record{current.generation, targetsByAddress(current), former().byAddress};
+    for (const auto &[address, since] : unknown_)
+        record.inForce.erase(address);
+    return record;
 }
 
 bool RouteHistory::expire(TimePoint now)
@@ -110,6 +134,8 @@
             std::erase_if(entries, [&](const Entry &entry) { return isOver(now, entry.replaced); })
             > 0;
     std::erase_if(entries_, [](const auto &entry) { return entry.second.empty(); });
+    changed |=
+        std::erase_if(unknown_, [&](const auto &entry) { return isOver(now, entry.second); }) > 0;
     if (incompleteSince_ && isOver(now, *incompleteSince_)) {
         incompleteSince_.reset();
         changed = true;
@@ -121,6 +147,8 @@
 {
     FormerTargets former;
     former.isComplete = isComplete();
+    for (const auto &[address, since] : unknown_)
+        former.unknown.insert(address);
     for (const auto &[address, entries] : entries_) {
         std::vector<Targets> &lists = former.byAddress[address];
         for (const Entry &entry : entries)
--- a/src/libs/routing/routehistory.h
+++ b/src/libs/routing/routehistory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,10 +14,11 @@
 
 /// The services that get the new flows of an address, in the order of the configuration.
 using Targets = std::vector<Model::RouteTarget>;
+using TargetsByAddress = std::map<Model::Endpoint, Targets>;
 
 /// Returns the targets of each address in \a configuration. Targets without weight, and those whose
 /// service is not configured, are left out; a route may have none left. Thread-safe.
-std::map<Model::Endpoint, Targets> targetsByAddress(const Model::Configuration &configuration);
+TargetsByAddress targetsByAddress(const Model::Configuration &configuration);
 
 /// Returns the service that \a targets select for the flow with \a flowHash. Precondition:
 /// \a targets is not empty. Thread-safe.
@@ -33,12 +35,24 @@
 {
     /// Targets of earlier configurations by address, latest first.
     std::map<Model::Endpoint, std::vector<Targets>> byAddress;
-    /// Whether there can be no other earlier targets of open flows.
+    /// Addresses that may have had other targets, too.
+    std::set<Model::Endpoint> unknown;
+    /// Whether all addresses other than the unknown ones had no other targets.
     bool isComplete = false;
 
     bool operator==(const FormerTargets &) const = default;
 };
 
+/// What a process knew of the targets while a configuration was in force.
+struct TargetsRecord
+{
+    Model::Generation generation{}; ///< of the configuration
+    TargetsByAddress inForce;       ///< of the addresses whose former targets were known
+    std::map<Model::Endpoint, std::vector<Targets>> former; ///< latest first
+
+    bool operator==(const TargetsRecord &) const = default;
+};
+
 /// Time that a configuration may take to be in force on all balancers. Until then, some of them
 /// open flows to the targets of the one before.
 constexpr std::chrono::seconds ConfigurationSpread{30};
@@ -66,9 +80,15 @@
     void onConfiguration(TimePoint now, const Model::Configuration &previous,
                          const Model::Configuration &next, Succession succession);
 
-    /// Adds the former targets that another process knew when the configuration now in force was in
-    /// force there. The history is complete afterwards if \a known is.
-    void merge(TimePoint now, const FormerTargets &known);
+    /// Uses \a record, which another process made, to learn targets that this one missed, while
+    /// \a current is in force. Ignored if nothing is missing, and if \a record belongs to another
+    /// configuration. With \a presumesUnchanged that of an earlier one is used, too: an address
+    /// with the same targets then counts as unchanged since.
+    void merge(TimePoint now, const TargetsRecord &record, const Model::Configuration &current,
+               bool presumesUnchanged);
+
+    /// Returns what this process knows while \a current is in force. Precondition: isComplete().
+    TargetsRecord record(const Model::Configuration &current) const;
 
     /// Forgets targets whose flows have all ended. Returns whether former() changed.
     bool expire(TimePoint now);
@@ -76,6 +96,7 @@
     /// Returns the targets to search for open flows besides those in force.
     FormerTargets former() const;
 
+    /// Whether the former targets of all but single addresses are known.
     bool isComplete() const { return !incompleteSince_; }
 
 private:
@@ -92,7 +113,8 @@
     bool isFirstStart_;
     std::chrono::seconds maxFlowAge_;
     std::map<Model::Endpoint, std::vector<Entry>> entries_; ///< latest first
-    std::optional<TimePoint> incompleteSince_; ///< when targets were last replaced without notice
+    std::map<Model::Endpoint, TimePoint> unknown_; ///< when other targets were last in force
+    std::optional<TimePoint> incompleteSince_;     ///< when that may hold for all addresses
 };
 
 } // namespace Routing
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -331,9 +331,11 @@
     return target->table.get();
 }
 
-bool RoutingTable::isSettled(const Model::Endpoint &address) const
+RoutingTable::Knowledge RoutingTable::knowledgeOf(const Model::Endpoint &address) const
 {
-    return !former_.byAddress.contains(address);
+    if (!former_.isComplete || former_.unknown.contains(address))
+        return Knowledge::Unknown;
+    return former_.byAddress.contains(address) ? Knowledge::Changed : Knowledge::Unchanged;
 }
 
 static void appendIfAbsent(std::vector<const ServiceTable *> &tables, const ServiceTable *table)
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -147,9 +147,15 @@
     /// selected by the weights of the route; null if there is none. Thread-safe.
     const ServiceTable *pickByWeight(const Model::Endpoint &address, std::uint64_t flowHash) const;
 
-    /// Whether the known earlier configurations send flows to \a address where pickByWeight() does.
-    /// Thread-safe.
-    bool isSettled(const Model::Endpoint &address) const;
+    /// How much is known about the earlier configurations of an address.
+    enum class Knowledge {
+        Unchanged, ///< open flows belong to the service that pickByWeight() returns
+        Changed,   ///< open flows belong to one of knownOwners()
+        Unknown,   ///< open flows belong to one of possibleOwners()
+    };
+
+    /// Returns what is known about the earlier configurations of \a address. Thread-safe.
+    Knowledge knowledgeOf(const Model::Endpoint &address) const;
 
     /// Returns the tables of the services to which the present and the known earlier configurations
     /// send an open flow to \a address with \a flowHash, in the order in which to ask for its
--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -581,11 +581,11 @@
             if (!node.core)
                 continue;
             updateDirectory(node);
-            const auto record = node.recorder->step(now_, node.core->roster().isFirstBalancer(),
-                                                    node.core->configuration().generation,
-                                                    node.core->formerTargets(), timeline_);
+            node.recorder->update(*node.core);
+            const auto record =
+                node.recorder->step(now_, node.core->roster().isFirstBalancer(), timeline_);
             if (record)
-                node.core->setRecordedTargets(now_, record->generation, record->former);
+                node.core->setRecordedTargets(now_, *record);
         }
         schedule(DirectoryInterval, [this] { scheduleDirectoryUpdate(); });
     }
--- a/tests/auto/forwarding/tst_flowsacrossconfigurations.cpp
+++ b/tests/auto/forwarding/tst_flowsacrossconfigurations.cpp
@@ -68,6 +68,14 @@
     simulation.run(1500ms);
 }
 
+/// Whether the balancer \a balancer may miss earlier targets of the route number \a route.
+static bool isUnknown(Simulation &simulation, std::size_t balancer, std::size_t route)
+{
+    const auto former = simulation.balancer(balancer).formerTargets();
+    return !former.isComplete
+           || former.unknown.contains(simulation.configuration().routes[route].address);
+}
+
 TEST_GROUP(FlowsAcrossConfigurations){};
 
 /// Guards against resets of a route's open flows when its new flows go to another service
@@ -115,7 +123,7 @@
     // Before the record of the change is written.
     simulation.run(100ms);
     restartBalancers(simulation);
-    CHECK_FALSE(simulation.balancer(0).formerTargets().isComplete);
+    CHECK_TRUE(isUnknown(simulation, 0, 0));
     LONGS_EQUAL(36, answersThroughAll(simulation));
     LONGS_EQUAL(0, simulation.resets);
 }
@@ -177,7 +185,7 @@
     LONGS_EQUAL(12, openedAt(simulation, 0, Yard));
     simulation.configure(original, 10ms);
     simulation.run(1000ms);
-    CHECK_FALSE(simulation.balancer(1).formerTargets().isComplete);
+    CHECK_TRUE(isUnknown(simulation, 1, 0));
     LONGS_EQUAL(24, answersThroughAll(simulation));
     LONGS_EQUAL(0, simulation.resets);
 }
@@ -196,16 +204,23 @@
     CHECK_TRUE(former.byAddress.begin()->second.front() == (Routing::Targets{{Desk, 1}}));
 }
 
-/// A record of an older configuration lacks the targets that were replaced since.
-TEST(FlowsAcrossConfigurations, OutdatedRecordOfFormerTargetsIsNotTrusted)
+/// A record of an older configuration does not show which targets a route had since, even if they
+/// are the same again.
+TEST(FlowsAcrossConfigurations, OutdatedRecordIsNotTrusted)
 {
     Simulation simulation(3, 6, Yard);
+    const Model::Configuration original = simulation.configuration();
     simulation.run(2000ms);
-    simulation.configure(withTargets(simulation.configuration(), 0, {{Yard, 1}}), 10ms);
-    simulation.run(100ms);
+    simulation.configure(withTargets(original, 0, {{Yard, 1}}), 10ms);
+    simulation.run(50ms);
+    openFlows(simulation, 3);
+    simulation.configure(original, 10ms);
+    simulation.run(50ms);
     restartBalancers(simulation);
     for (std::size_t index = 0; index < 3; ++index)
-        CHECK_FALSE(simulation.balancer(index).formerTargets().isComplete);
+        CHECK_TRUE(isUnknown(simulation, index, 0));
+    LONGS_EQUAL(9, answersThroughAll(simulation));
+    LONGS_EQUAL(0, simulation.resets);
 }
 
 TEST(FlowsAcrossConfigurations, LostFlowIsResetOnceAllServicesWereAsked)
@@ -257,6 +272,9 @@
     Simulation simulation(3, 6, Yard);
     openFlows(simulation, 20);
     simulation.run(2000ms);
+    // The power is lost right after a change of the other route.
+    simulation.configure(withTargets(simulation.configuration(), 1, {{Desk, 1}}), 1ms);
+    simulation.run(10ms);
     simulation.losePower();
     simulation.run(500ms);
     for (std::size_t index = 0; index < 3; ++index)
