Own interface: a packet without owner asks the agents of other services

When an address became that of another service, packets of its open flows ended at the agents of the new one, which drop them: no reset, but their callers waited until their deadlines.

An agent at the end of the chain now returns the packet to the balancer, which asks the agents of the other services, those that are not configured any more included, and suspect agents last. These balancers keep no flow and no history, and feeds have no age limit, so every packet without an owner asks on, at most MaxSearchedServices services. Packets whose owner is in the chain take the same path as before; the encoded header has the same size.

Not run: an exchange of addresses with real processes.

--- a/src/libs/agent/agenttraffic.h
+++ b/src/libs/agent/agenttraffic.h
@@ -51,6 +51,7 @@
     std::uint64_t received = 0;
     std::uint64_t delivered = 0;
     std::uint64_t passedOn = 0;
+    std::uint64_t returned = 0; ///< to the balancer, as no agent of the service owns the flow
     std::uint64_t malformed = 0;
     std::uint64_t requestsRefused = 0; ///< as their flow could not be moved to a peer
     std::uint64_t flowsOpened = 0;
@@ -145,6 +146,7 @@
                   Tunnel::Bytes packet);
     void forwardPacket(const Tunnel::Datagram &datagram, const Tunnel::PacketHeader &header,
                        Tunnel::Bytes packet);
+    void returnPacket(const Tunnel::Datagram &datagram, Tunnel::Bytes packet);
     void onRedirects(const Tunnel::Redirects &redirects);
     void sendRedirects(const Routing::Hop &receiver, const std::vector<Tunnel::ClaimedFlow> &flows);
     void sendControl(const Model::Endpoint &receiver, Tunnel::Datagram datagram);
--- a/src/libs/agent/trafficdump.cpp
+++ b/src/libs/agent/trafficdump.cpp
@@ -40,6 +40,7 @@
              {{"received", counters_.received},
               {"delivered", counters_.delivered},
               {"passedOn", counters_.passedOn},
+              {"returned", counters_.returned},
               {"malformed", counters_.malformed},
               {"controlBytesSent", counters_.controlBytesSent},
               {"dropped", drops}}},
--- a/src/libs/agent/trafficpackets.cpp
+++ b/src/libs/agent/trafficpackets.cpp
@@ -104,7 +104,11 @@
     if (const auto *forward = std::get_if<Flows::ForwardToHop>(&decision.verdict)) {
         forwardPacket(datagram, forward->header, packet);
     } else if (const auto *dropped = std::get_if<Flows::Drop>(&decision.verdict)) {
-        ++counters_.drops[std::size_t(dropped->cause)];
+        if (dropped->cause == Flows::DropCause::NoOwner && header.originContinues
+            && header.origin.isValid())
+            returnPacket(datagram, packet);
+        else
+            ++counters_.drops[std::size_t(dropped->cause)];
     } else if (stack_) {
         ++counters_.delivered;
         stack_->input(packet);
@@ -121,6 +125,15 @@
                          header.chain[header.position].tunnel);
 }
 
+/// Returns \a packet to the balancer that sent it, since no agent of this service owns its flow.
+void AgentTraffic::returnPacket(const Tunnel::Datagram &datagram, Tunnel::Bytes packet)
+{
+    ++counters_.returned;
+    const auto &header = std::get<Tunnel::PacketHeader>(datagram.content);
+    Tunnel::sendDatagram(socket_.native_handle(), Tunnel::encodeDatagram(datagram), packet,
+                         header.origin);
+}
+
 void AgentTraffic::onRedirects(const Tunnel::Redirects &redirects)
 {
     director_.onRedirects(std::chrono::steady_clock::now(), redirects.owner, redirects.flows);
--- a/src/libs/balancer/forwarder.cpp
+++ b/src/libs/balancer/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "balancer/forwarder.h"
 
+#include "flows/ownersearch.h"
+
 #include <poll.h>
 #include <unistd.h>
 
@@ -16,11 +18,14 @@
         return "unknown-service";
     case DropCause::NoInstance:
         return "no-instance";
+    case DropCause::NoOwner:
+        return "no-owner";
     }
     return "unknown";
 }
 
-Decision decide(const Routing::RoutingTable &table, Tunnel::Bytes packet)
+Decision decide(const Routing::RoutingTable &table, const Model::Endpoint &origin,
+                Tunnel::Bytes packet)
 {
     const auto parsed = Tunnel::parseTcpPacket(packet);
     if (const auto *fault = std::get_if<Tunnel::PacketFault>(&parsed))
@@ -33,16 +38,43 @@
     const auto kind =
         tcp.opensFlow() ? Routing::PacketKind::OpensFlow : Routing::PacketKind::ContinuesFlow;
     Tunnel::PacketHeader header;
-    header.chain = service->chainFor(Model::flowHash(tcp.flow), kind);
+    header.chain = service->runningChainFor(Model::flowHash(tcp.flow), kind);
     header.opensFlow = tcp.opensFlow();
-    if (header.chain.isEmpty())
+    header.origin = origin;
+    header.originContinues = !tcp.opensFlow();
+    if (header.chain.isEmpty() && tcp.opensFlow())
         return DropCause::NoInstance;
+    if (header.chain.isEmpty())
+        return decideOnReturned(table, service->id(), header, packet, 0);
     const Model::Endpoint receiver = header.chain[0].tunnel;
     return Forward{{service->id(), table.generation(), header}, receiver};
 }
 
+Decision decideOnReturned(const Routing::RoutingTable &table, Model::ServiceId service,
+                          const Tunnel::PacketHeader &header, Tunnel::Bytes packet,
+                          std::size_t turn)
+{
+    const auto parsed = Tunnel::parseTcpPacket(packet);
+    if (const auto *fault = std::get_if<Tunnel::PacketFault>(&parsed))
+        return *fault;
+    const Model::FlowKey &flow = std::get<Tunnel::TcpPacket>(parsed).flow;
+    if (!table.hasRoute(flow.service))
+        return DropCause::UnknownService;
+    const std::uint64_t hash = Model::flowHash(flow);
+    const auto owners = table.possibleOwners(flow.service, hash, table.find(flow.service));
+    const auto step = Flows::askNextService(owners, hash, header, service);
+    auto next = std::holds_alternative<Flows::AskService>(step)
+                    ? std::optional(std::get<Flows::AskService>(step))
+                    : Flows::askSuspect(owners, header, turn);
+    if (!next)
+        return DropCause::NoOwner;
+    const Model::Endpoint receiver = next->header.chain[0].tunnel;
+    return Forward{{next->service, table.generation(), next->header}, receiver};
+}
+
 Forwarder::Forwarder(const Model::Endpoint &tunnel)
-    : socket_(Tunnel::openUdpSocket(tunnel))
+    : tunnel_(tunnel)
+    , socket_(Tunnel::openUdpSocket(tunnel))
     , table_(std::make_shared<Routing::RoutingTable>())
 {}
 
@@ -85,7 +117,7 @@
     for (std::size_t index = 0; index < count; ++index) {
         const auto packet = Tunnel::unwrapGre(received_.datagram(index));
         if (packet)
-            queue(decide(*batchTable_, *packet), *packet);
+            queue(decide(*batchTable_, tunnel_, *packet), *packet);
         else
             onOtherDatagram(received_.datagram(index));
     }
@@ -95,10 +127,17 @@
 void Forwarder::onOtherDatagram(Tunnel::Bytes datagram)
 {
     const auto received = Tunnel::decodeDatagram(datagram);
-    const auto *const notice =
-        received ? std::get_if<Tunnel::StateNotice>(&received->datagram.content) : nullptr;
-    if (notice)
+    if (!received) {
+        ++counters_.drops[std::size_t(DropCause::NotGre)];
+        return;
+    }
+    const auto &[service, generation, content] = received->datagram;
+    if (const auto *notice = std::get_if<Tunnel::StateNotice>(&content))
         handler_(*notice);
+    else if (const auto *header = std::get_if<Tunnel::PacketHeader>(&content))
+        queue(
+            decideOnReturned(*batchTable_, service, *header, received->packet, returnedPackets_++),
+            received->packet);
     else
         ++counters_.drops[std::size_t(DropCause::NotGre)];
 }
@@ -106,7 +145,9 @@
 void Forwarder::queue(const Decision &decision, Tunnel::Bytes packet)
 {
     if (const auto *forward = std::get_if<Forward>(&decision)) {
-        const std::vector<std::byte> *header = headerCache_.encoded(forward->datagram);
+        const auto &packetHeader = std::get<Tunnel::PacketHeader>(forward->datagram.content);
+        const std::vector<std::byte> *header =
+            HeaderCache::canCache(packetHeader) ? headerCache_.encoded(forward->datagram) : nullptr;
         if (!header) {
             std::vector<std::byte> &own = headers_[headerCount_++];
             Tunnel::encodeDatagram(forward->datagram, own);
--- a/src/libs/balancer/forwarder.h
+++ b/src/libs/balancer/forwarder.h
@@ -23,9 +23,10 @@
     NotGre,         ///< no RFC 8086 GRE header for IPv4
     UnknownService, ///< no service has the packet's destination address
     NoInstance,     ///< the service has no instance that can accept the packet
+    NoOwner,        ///< no agent that runs owns the flow
 };
 
-constexpr std::size_t DropCauseCount = 3;
+constexpr std::size_t DropCauseCount = 4;
 
 /// Returns the name of \a cause in metrics and state dumps. Thread-safe.
 const char *dropCauseText(DropCause cause);
@@ -39,8 +40,17 @@
 
 using Decision = std::variant<Forward, DropCause, Tunnel::PacketFault>;
 
-/// Returns how to handle \a packet, an IPv4 packet from the fabric. Keeps no state; thread-safe.
-Decision decide(const Routing::RoutingTable &table, Tunnel::Bytes packet);
+/// Returns how to handle \a packet, an IPv4 packet from the fabric. \a origin is where agents
+/// return packets of open flows that none of them owns. Keeps no state; thread-safe.
+Decision decide(const Routing::RoutingTable &table, const Model::Endpoint &origin,
+                Tunnel::Bytes packet);
+
+/// Returns how to handle \a packet, which the agents of \a service returned with \a header because
+/// none of them owns its flow: another service may, since the address may have been its own when
+/// the flow was opened. \a turn is a number that grows with each call. Keeps no state; thread-safe.
+Decision decideOnReturned(const Routing::RoutingTable &table, Model::ServiceId service,
+                          const Tunnel::PacketHeader &header, Tunnel::Bytes packet,
+                          std::size_t turn);
 
 /// Counters of one balancer since its start.
 struct Counters
@@ -80,6 +90,7 @@
 
     void onOtherDatagram(Tunnel::Bytes datagram);
 
+    Model::Endpoint tunnel_;
     int socket_;
     StateNoticeHandler handler_;
     std::atomic<bool> stopping_ = false;
@@ -91,6 +102,7 @@
     std::array<std::vector<std::byte>, Tunnel::BatchPackets> headers_;
     std::size_t headerCount_ = 0;
     HeaderCache headerCache_;
+    std::size_t returnedPackets_ = 0;
     std::thread thread_;
 };
 
--- a/src/libs/balancer/headercache.cpp
+++ b/src/libs/balancer/headercache.cpp
@@ -7,7 +7,8 @@
 static constexpr std::size_t EntryCount = 8192;
 
 /// Returns whether both are encoded to the same bytes. The fields that aren't compared don't
-/// differ: packets leave a balancer with position 0 and passes 0.
+/// differ: packets leave a balancer with position 0 and passes 0, its own address as origin, and
+/// with originContinues unless they open a flow.
 static bool haveSameEncoding(const Tunnel::Datagram &left, const Tunnel::Datagram &right)
 {
     const auto &leftHeader = std::get<Tunnel::PacketHeader>(left.content);
--- a/src/libs/balancer/headercache.h
+++ b/src/libs/balancer/headercache.h
@@ -18,9 +18,16 @@
     /// Begins a batch. Results of encoded() from the previous batch may be overwritten from now on.
     void beginBatch() { ++batch_; }
 
+    /// Whether a datagram with \a header can be cached: only headers of packets that no agent has
+    /// seen yet differ in nothing but the chain and the kind of packet.
+    static bool canCache(const Tunnel::PacketHeader &header)
+    {
+        return header.passes == 0 && header.servicesAsked == 0;
+    }
+
     /// Returns \a datagram encoded, valid until the next batch; null if its cache entry already
     /// holds another header of this batch.
-    /// Precondition: the content of \a datagram is a PacketHeader.
+    /// Precondition: the content of \a datagram is a PacketHeader for which canCache() holds.
     const std::vector<std::byte> *encoded(const Tunnel::Datagram &datagram);
 
 private:
--- a/src/libs/flows/ownersearch.cpp
+++ b/src/libs/flows/ownersearch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace Flows {
 
@@ -39,4 +40,25 @@
     return SearchEnded{forwarded.isUncertain};
 }
 
+std::optional<AskService> askSuspect(const std::vector<const Routing::ServiceTable *> &owners,
+                                     const Tunnel::PacketHeader &header, std::size_t turn)
+{
+    std::vector<std::pair<Model::ServiceId, Routing::Hop>> suspects;
+    for (const Routing::ServiceTable *const owner : owners) {
+        for (const Routing::Hop &hop : owner->suspectInstances())
+            suspects.emplace_back(owner->id(), hop);
+    }
+    if (suspects.empty())
+        return std::nullopt;
+    const auto &[service, hop] = suspects[turn % suspects.size()];
+    AskService step{service, header};
+    step.header.chain = {};
+    step.header.chain.append(hop);
+    step.header.position = 0;
+    step.header.passes = 1;
+    step.header.originContinues = false;
+    step.header.originSearches = true;
+    return step;
+}
+
 } // namespace Flows
--- a/src/libs/flows/ownersearch.h
+++ b/src/libs/flows/ownersearch.h
@@ -38,4 +38,10 @@
                           std::uint64_t flowHash, const Tunnel::PacketHeader &header,
                           std::optional<Model::ServiceId> asked);
 
+/// Returns a step that asks one suspect agent of \a owners, and nobody else: the one numbered
+/// \a turn, so that successive packets ask different ones. Returns nothing if none is suspect. Such
+/// an agent may run after all. \a header is that of the packet so far. Thread-safe.
+std::optional<AskService> askSuspect(const std::vector<const Routing::ServiceTable *> &owners,
+                                     const Tunnel::PacketHeader &header, std::size_t turn);
+
 } // namespace Flows
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -357,32 +357,28 @@
     return reset;
 }
 
-/// Sends \a packet to a suspect agent of \a owners, each time to another one: it may run after
-/// all.
+/// Sends \a packet to a suspect agent of \a owners: the one that is cached for the flow, or each
+/// time another one.
 BalancerVerdict BalancerCore::askSuspect(TimePoint now, const Tunnel::TcpPacket &packet,
                                          const std::vector<const Routing::ServiceTable *> &owners)
 {
-    std::vector<std::pair<Model::ServiceId, Routing::Hop>> suspects;
-    for (const auto *const owner : owners) {
-        for (const Routing::Hop &hop : owner->suspectInstances())
-            suspects.emplace_back(owner->id(), hop);
-    }
-    if (suspects.empty())
-        return BalancerDrop::NoOwner;
-    auto chosen = suspects.begin() + std::ptrdiff_t(suspectsAsked_++ % suspects.size());
     if (const FlowCache::Entry *const cached = cache_.find(now, packet.flow)) {
-        const auto known = std::find_if(suspects.begin(), suspects.end(), [&](const auto &suspect) {
-            return suspect.second.instance == cached->agents[0].instance;
-        });
-        if (known != suspects.end())
-            chosen = known;
+        // The service of the cached agent comes first; see tableFor().
+        const auto suspects = owners.front()->suspectInstances();
+        const auto known =
+            std::find_if(suspects.begin(), suspects.end(), [cached](const Routing::Hop &suspect) {
+                return suspect.instance == cached->agents[0].instance;
+            });
+        if (known != suspects.end()) {
+            const auto step = Flows::askSuspect({owners.front()}, newHeader(),
+                                                std::size_t(known - suspects.begin()));
+            return send(step->service, step->header);
+        }
     }
-    const auto &[service, hop] = *chosen;
-    Tunnel::PacketHeader header = newHeader();
-    header.chain.append(hop);
-    header.passes = 1;
-    header.originSearches = true;
-    return send(service, header);
+    const auto step = Flows::askSuspect(owners, newHeader(), suspectsAsked_++);
+    if (!step)
+        return BalancerDrop::NoOwner;
+    return send(step->service, step->header);
 }
 
 /// Whether every agent of \a owners that may own a flow is known: the roster has not changed for
