--- a/src/libs/control/platformwriter.cpp
+++ b/src/libs/control/platformwriter.cpp
@@ -140,8 +140,13 @@
         return client_.write(key, Membership::encodeAnnouncement(write->instance),
                              write->precondition);
     });
+    const auto *const version = std::get_if<Store::Version>(&written);
+    log(Level::Info, write ? "announcement-written" : "announcement-removed",
+        {{"revision", version ? version->number() : 0},
+         {"timeline", version ? std::uint64_t(version->timeline()) : 0},
+         {"outcome", version ? "stored" : Store::failureText(std::get<FailureKind>(written))}});
     const std::lock_guard guard(mutex_);
-    if (const auto *version = std::get_if<Store::Version>(&written))
+    if (version)
         policy_.onWritten(*version, write ? std::optional(write->instance) : std::nullopt);
     else
         policy_.onFailed(std::chrono::steady_clock::now(), std::get<FailureKind>(written));
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -76,11 +76,12 @@
         self.next_port += 1
         return f"{HOST}:{self.next_port - 1}"
 
-    def spawn(self, name, *arguments, stdout=subprocess.DEVNULL):
-        stderr = open(self.logs / f"{name}.log", "ab")
+    def spawn(self, name, *arguments, stdout=None):
+        """Starts a process whose output goes to its log, unless stdout is given."""
+        log_file = open(self.logs / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [str(argument) for argument in arguments], stdin=subprocess.DEVNULL, stdout=stdout,
-            stderr=stderr)
+            [str(argument) for argument in arguments], stdin=subprocess.DEVNULL,
+            stdout=stdout or log_file, stderr=log_file)
         return self.processes[name]
 
     def close(self):
