An agent announces itself again whenever a restore lost its announcement

A property found two more ways to the same end: a restore before the watch has reported the agent's first write, and a response to a write that arrives after the listing.

Ruled out: a false suspicion (no peer-suspect line), a conflict (no failed write).

Roles forwarding-balancer and forwarding-agent don't use these classes.

--- a/src/libs/control/announcementpolicy.cpp
+++ b/src/libs/control/announcementpolicy.cpp
@@ -1,5 +1,7 @@
 #include "control/announcementpolicy.h"
 
+#include <algorithm>
+
 namespace Control {
 
 static constexpr std::chrono::milliseconds FirstPause{100};
@@ -65,10 +67,20 @@
     }
 }
 
+void AnnouncementPolicy::onRegistryChanged(const Membership::InstanceRegistry &registry)
+{
+    const auto announced = registry.find(wanted_.name);
+    const auto version = registry.versionOf(wanted_.name);
+    onObserved(announced ? version : std::max(version, registry.listedRevision()), announced);
+}
+
 void AnnouncementPolicy::onWritten(Store::Version version,
                                    const std::optional<Model::Instance> &written)
 {
     backoff_.onSuccess();
+    // A restore has lost this write if something newer was observed before its response arrived.
+    if (isObserved_ && version < version_)
+        return;
     version_ = version;
     isObserved_ = true;
     announced_ = written;
--- a/src/libs/control/announcementpolicy.h
+++ b/src/libs/control/announcementpolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/instanceregistry.h"
 #include "model/identity.h"
 #include "store/backoff.h"
 #include "store/objectclient.h"
@@ -65,6 +66,9 @@
     /// Versions that are not newer than the latest known one are ignored.
     void onObserved(Store::Version version, const std::optional<Model::Instance> &announced);
 
+    /// Records what \a registry knows of the own announcement.
+    void onRegistryChanged(const Membership::InstanceRegistry &registry);
+
     /// Records that \a written was stored with \a version. If \a written is nothing, the
     /// announcement was deleted.
     void onWritten(Store::Version version, const std::optional<Model::Instance> &written);
--- a/src/libs/control/clusterview.cpp
+++ b/src/libs/control/clusterview.cpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace Control {
@@ -134,10 +135,7 @@
     if (gate_.current().generation > Model::Generation{})
         listing.objects.push_back({std::string(Membership::ConfigurationKey), configurationVersion_,
                                    Configuration::encodeConfiguration(gate_.current()).dump()});
-    for (const Model::Instance &instance : registry_.instances())
-        listing.objects.push_back({Membership::instanceKey(instance.name),
-                                   registry_.versionOf(instance.name),
-                                   Membership::encodeAnnouncement(instance)});
+    std::ranges::move(registry_.announcements(), std::back_inserter(listing.objects));
     return listing;
 }
 
--- a/src/libs/control/platformwriter.cpp
+++ b/src/libs/control/platformwriter.cpp
@@ -69,11 +69,7 @@
 {
     {
         const std::lock_guard guard(mutex_);
-        const std::string &name = policy_.wanted().name;
-        const auto version = view.registry().versionOf(name);
-        if (version == Store::Version{})
-            return;
-        policy_.onObserved(version, view.registry().find(name));
+        policy_.onRegistryChanged(view.registry());
     }
     wake_.notify_all();
 }
--- a/src/libs/membership/instanceregistry.cpp
+++ b/src/libs/membership/instanceregistry.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/announcement.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Membership {
@@ -22,7 +23,7 @@
         }
     }
     const bool changed = entry.instance != instance;
-    entry = {version, std::move(instance), false, {}};
+    entry = {version, std::move(instance), version, false, {}};
     return changed;
 }
 
@@ -35,7 +36,8 @@
 
 bool InstanceRegistry::apply(const Store::Listing &listing)
 {
-    bool changed = false;
+    bool changed = listing.revision > listed_;
+    listed_ = std::max(listed_, listing.revision);
     std::set<std::string> listed;
     for (const Store::Object &object : listing.objects) {
         if (!object.key.starts_with(InstancePrefix))
@@ -66,7 +68,7 @@
             entry.missingSince = now;
         if (now - *entry.missingSince < MissingLifetime)
             continue;
-        entry = {entry.version, std::nullopt, false, {}};
+        entry = {entry.version, std::nullopt, entry.announced, false, {}};
         changed = true;
     }
     return changed;
@@ -96,4 +98,14 @@
     return entry == entries_.end() ? Store::Version{} : entry->second.version;
 }
 
+std::vector<Store::Object> InstanceRegistry::announcements() const
+{
+    std::vector<Store::Object> objects;
+    for (const auto &[key, entry] : entries_) {
+        if (entry.instance)
+            objects.push_back({key, entry.announced, encodeAnnouncement(*entry.instance)});
+    }
+    return objects;
+}
+
 } // namespace Membership
--- a/src/libs/membership/instanceregistry.h
+++ b/src/libs/membership/instanceregistry.h
@@ -29,7 +29,8 @@
 
     /// Applies a complete listing. An instance that it does not contain is removed, unless its
     /// version is newer than the listing's revision; if the platform was restored since that
-    /// version, it is missing. Returns whether the set of instances changed.
+    /// version, it is missing. Returns whether the set of instances changed, or the listing is
+    /// newer than all before and so tells which names are still not announced.
     bool apply(const Store::Listing &listing);
 
     /// Removes the instances that have been missing for MissingLifetime at \a now. Returns whether
@@ -46,14 +47,24 @@
     /// missing, the latest revision at which that was known; 0 if there was none.
     Store::Version versionOf(const std::string &name) const;
 
+    /// Returns the revision of the newest listing: names that are neither known from a change nor
+    /// listed were not announced then.
+    Store::Revision listedRevision() const { return listed_; }
+
+    /// Returns the announcements of instances(), each with the version that was announced. A
+    /// missing one has a version of the timeline that lost it, so that it confirms nothing on the
+    /// next one.
+    std::vector<Store::Object> announcements() const;
+
     /// Returns the number of announcements since the start that could not be parsed.
     std::size_t malformedCount() const { return malformed_; }
 
 private:
     struct Entry
     {
-        Store::Version version{};
+        Store::Version version{};                ///< at which the rest was known last
         std::optional<Model::Instance> instance; ///< empty after a deletion
+        Store::Version announced{};              ///< version of the announcement of instance
         bool isMissing = false;                  ///< the platform lost the announcement
         std::optional<TimePoint> missingSince;   ///< first call of expireMissing() after that
     };
@@ -62,6 +73,7 @@
              const std::optional<std::string> &value);
 
     std::map<std::string, Entry> entries_;
+    Store::Revision listed_; ///< of the newest listing
     std::size_t malformed_ = 0;
 };
 
