Own interface: agents accept flows at the present address of their service

What callers saw: after two services had exchanged addresses, no new flow to either opened until the agents restarted; callers waited in vain. An agent that started after the change could not take over a flow to the earlier address from a peer that stops.

Cause: an agent created its TCP stack with the address that its service had first, listened there only, and refused transfers of flows to any other address. Seen in /state of an agent: 10 packets delivered to the stack, 0 flows opened.

A stack now has several addresses: those that its service had, and those of the flows that it takes over. Addresses without flows make room when there are more than 64 (lwIP numbers interfaces with one byte).

Ruled out: balancers that don't know the new address (their packets arrive), agents that refuse for load (offered as ready).

The roles of the users' platform don't use this code.

--- a/src/libs/agent/agenttraffic.cpp
+++ b/src/libs/agent/agenttraffic.cpp
@@ -159,8 +159,9 @@
                     if (!eventsPosted_.exchange(true))
                         boost::asio::post(io_, [this] { drainStackEvents(); });
                 });
-            stack_->listen(service.address.port);
         }
+        if (!stack_->listen(service.address))
+            log(Level::Error, "listen-failed", {{"address", Model::endpointText(service.address)}});
         runner_.configure(service);
         std::vector<Model::Instance> peers;
         for (const Model::Instance &instance : serviceTable_->instances()) {
--- a/src/libs/stack/tcpstack.cpp
+++ b/src/libs/stack/tcpstack.cpp
@@ -13,7 +13,9 @@
 #include <algorithm>
 #include <array>
 #include <future>
+#include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -22,6 +24,9 @@
 static constexpr std::uint8_t ListenBacklog = 255;
 static constexpr std::size_t MaxPacketBytes = 2048;
 
+/// lwIP numbers the interfaces of a process with one byte.
+static constexpr std::size_t MaxAddresses = 64;
+
 namespace {
 
 class CoreLock
@@ -89,6 +94,10 @@
     static err_t sendPacket(netif *interface, pbuf *packet, const ip4_addr_t *nextHop);
 
     void emit(Event event);
+    netif *interfaceFor(TcpStack *stack, std::uint32_t address);
+    netif *interfaceOf(Tunnel::Bytes packet);
+    void removeUnusedInterfaces();
+    void closeListeners(std::uint32_t address);
     Connection *find(const Model::FlowKey &key) const;
     Connection &attach(TcpStack *stack, tcp_pcb *pcb, const Model::FlowKey &key);
     void detach(Connection &connection);
@@ -96,9 +105,9 @@
     Output output_;
     EventNotifier eventNotifier_;
     std::uint16_t maximumPacketBytes_;
-    netif interface_{};
-    std::uint32_t address_ = 0;
-    std::vector<tcp_pcb *> listeners_;
+    std::uint32_t firstAddress_ = 0;
+    std::map<std::uint32_t, netif> interfaces_; ///< by address
+    std::map<Model::Endpoint, tcp_pcb *> listeners_;
     std::unordered_map<Model::FlowKey, std::unique_ptr<Connection>> connections_;
 
     std::mutex eventsMutex_;
@@ -235,22 +244,75 @@
     return ERR_OK;
 }
 
+/// Returns the interface that has \a address, which is added if necessary. Requires lwIP's lock.
+netif *TcpStack::Internals::interfaceFor(TcpStack *stack, std::uint32_t address)
+{
+    if (interfaces_.size() >= MaxAddresses && !interfaces_.contains(address))
+        removeUnusedInterfaces();
+    const auto [entry, isNew] = interfaces_.try_emplace(address);
+    netif *const interface = &entry->second;
+    if (!isNew)
+        return interface;
+    ip4_addr_t own{lwip_htonl(address)};
+    ip4_addr_t mask{lwip_htonl(0xffffffff)};
+    ip4_addr_t gateway{0};
+    if (!netif_add(interface, &own, &mask, &gateway, stack, &Internals::initializeInterface,
+                   &ip_input)) {
+        interfaces_.erase(entry);
+        return nullptr;
+    }
+    netif_set_default(interface);
+    netif_set_link_up(interface);
+    netif_set_up(interface);
+    return interface;
+}
+
+/// Returns the interface that has the destination address of \a packet, else that of the first
+/// address.
+netif *TcpStack::Internals::interfaceOf(Tunnel::Bytes packet)
+{
+    const auto parsed = Tunnel::parseTcpPacket(packet);
+    const auto *const tcp = std::get_if<Tunnel::TcpPacket>(&parsed);
+    const auto entry = interfaces_.find(tcp ? tcp->flow.service.address : firstAddress_);
+    return entry == interfaces_.end() ? &interfaces_.at(firstAddress_) : &entry->second;
+}
+
+/// Removes the interfaces without flows, except that of the first address.
+void TcpStack::Internals::removeUnusedInterfaces()
+{
+    std::set<std::uint32_t> used{firstAddress_};
+    for (const auto &[key, connection] : connections_)
+        used.insert(hostAddress(connection->pcb->local_ip));
+    for (auto entry = interfaces_.begin(); entry != interfaces_.end();) {
+        if (used.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        closeListeners(entry->first);
+        netif_remove(&entry->second);
+        entry = interfaces_.erase(entry);
+    }
+}
+
+void TcpStack::Internals::closeListeners(std::uint32_t address)
+{
+    std::erase_if(listeners_, [address](const auto &entry) {
+        if (entry.first.address != address)
+            return false;
+        tcp_close(entry.second);
+        return true;
+    });
+}
+
 TcpStack::TcpStack(std::uint32_t address, std::uint16_t maximumPacketBytes, Output output,
                    EventNotifier eventNotifier)
     : internals_(std::make_unique<Internals>(maximumPacketBytes, std::move(output),
                                              std::move(eventNotifier)))
 {
     initializeLwipOnce();
-    internals_->address_ = address;
-    ip4_addr_t own{lwip_htonl(address)};
-    ip4_addr_t mask{lwip_htonl(0xffffffff)};
-    ip4_addr_t gateway{0};
+    internals_->firstAddress_ = address;
     const CoreLock lock;
-    netif_add(&internals_->interface_, &own, &mask, &gateway, this, &Internals::initializeInterface,
-              &ip_input);
-    netif_set_default(&internals_->interface_);
-    netif_set_link_up(&internals_->interface_);
-    netif_set_up(&internals_->interface_);
+    internals_->interfaceFor(this, address);
 }
 
 TcpStack::~TcpStack()
@@ -262,26 +324,32 @@
         internals_->detach(connection);
         tcp_abandon(pcb, 0);
     }
-    for (tcp_pcb *listener : internals_->listeners_)
-        tcp_close(listener);
-    netif_remove(&internals_->interface_);
+    for (auto &[address, interface] : internals_->interfaces_) {
+        internals_->closeListeners(address);
+        netif_remove(&interface);
+    }
 }
 
-bool TcpStack::listen(std::uint16_t port)
+bool TcpStack::listen(const Model::Endpoint &endpoint)
 {
     const CoreLock lock;
+    if (internals_->listeners_.contains(endpoint))
+        return true;
+    netif *const interface = internals_->interfaceFor(this, endpoint.address);
+    if (!interface)
+        return false;
     tcp_pcb *const pcb = tcp_new();
-    const ip_addr_t address = lwipAddress(internals_->address_);
+    const ip_addr_t address = lwipAddress(endpoint.address);
     ip_set_option(pcb, SOF_REUSEADDR);
-    if (tcp_bind(pcb, &address, port) != ERR_OK) {
+    if (tcp_bind(pcb, &address, endpoint.port) != ERR_OK) {
         tcp_close(pcb);
         return false;
     }
-    tcp_bind_netif(pcb, &internals_->interface_);
+    tcp_bind_netif(pcb, interface);
     tcp_pcb *const listener = tcp_listen_with_backlog(pcb, ListenBacklog);
     tcp_arg(listener, this);
     tcp_accept(listener, &Internals::onAccept);
-    internals_->listeners_.push_back(listener);
+    internals_->listeners_.emplace(endpoint, listener);
     return true;
 }
 
@@ -290,14 +358,14 @@
 {
     const CoreLock lock;
     tcp_pcb *const pcb = tcp_new();
-    const ip_addr_t local = lwipAddress(internals_->address_);
+    const ip_addr_t local = lwipAddress(internals_->firstAddress_);
     const ip_addr_t remote = lwipAddress(service.address);
     if (tcp_bind(pcb, &local, localPort) != ERR_OK) {
         tcp_close(pcb);
         return std::nullopt;
     }
-    tcp_bind_netif(pcb, &internals_->interface_);
-    const Model::FlowKey key{{internals_->address_, localPort}, service};
+    tcp_bind_netif(pcb, &internals_->interfaces_.at(internals_->firstAddress_));
+    const Model::FlowKey key{{internals_->firstAddress_, localPort}, service};
     Connection &connection = internals_->attach(this, pcb, key);
     if (tcp_connect(pcb, &remote, service.port, &Internals::onConnected) != ERR_OK) {
         internals_->detach(connection);
@@ -314,7 +382,7 @@
     if (!buffer)
         return;
     pbuf_take(buffer, packet.data(), u16_t(packet.size()));
-    if (ip_input(buffer, &internals_->interface_) != ERR_OK)
+    if (ip_input(buffer, internals_->interfaceOf(packet)) != ERR_OK)
         pbuf_free(buffer);
 }
 
@@ -457,12 +525,13 @@
 
 bool TcpStack::importFlow(const TcpState &state)
 {
-    if (state.flow.service.address != internals_->address_ || state.maximumSegment == 0)
+    if (state.maximumSegment == 0)
         return false;
     abandon(state.flow);
 
     const CoreLock lock;
-    tcp_pcb *const pcb = tcp_new();
+    netif *const interface = internals_->interfaceFor(this, state.flow.service.address);
+    tcp_pcb *const pcb = interface ? tcp_new() : nullptr;
     if (!pcb)
         return false;
     pcb->local_ip = lwipAddress(state.flow.service.address);
@@ -487,7 +556,7 @@
     pcb->flags = state.flags & (TF_WND_SCALE | TF_NODELAY);
     pcb->snd_scale = state.sendScale;
     pcb->rcv_scale = state.receiveScale;
-    tcp_bind_netif(pcb, &internals_->interface_);
+    tcp_bind_netif(pcb, interface);
     TCP_REG_ACTIVE(pcb);
     internals_->attach(this, pcb, state.flow);
     // Announces the window to the caller, and resends what it missed during the move.
--- a/src/libs/stack/tcpstack.h
+++ b/src/libs/stack/tcpstack.h
@@ -86,10 +86,11 @@
 /// the caller's ACK must match only one of the answers. Thread-safe.
 void seedInitialSequenceNumbers(std::uint32_t seed);
 
-/// The TCP flows of one IPv4 address.
+/// The TCP flows of one or several IPv4 addresses: a service may change its address while flows to
+/// the earlier one are open.
 ///
-/// lwIP keeps its state in globals, so all stacks of a process share one lock; each needs an
-/// address of its own. Methods may be called from any thread. Events are returned in the order of
+/// lwIP keeps its state in globals, so all stacks of a process share one lock; each needs
+/// addresses of its own. Methods may be called from any thread. Events are returned in the order of
 /// their occurrence.
 class TcpStack
 {
@@ -101,18 +102,21 @@
     /// Called when takeEvents() has something to return, on any thread.
     using EventNotifier = std::function<void()>;
 
-    /// \a address in host byte order; \a maximumPacketBytes bounds the packets of both directions.
+    /// \a address is the first one, in host byte order; \a maximumPacketBytes bounds the packets of
+    /// both directions.
     TcpStack(std::uint32_t address, std::uint16_t maximumPacketBytes, Output output,
              EventNotifier eventNotifier);
     ~TcpStack();
     TcpStack(const TcpStack &) = delete;
     TcpStack &operator=(const TcpStack &) = delete;
 
-    /// Accepts flows to \a port. Returns false if the port is in use.
-    bool listen(std::uint16_t port);
+    /// Accepts flows to \a endpoint too, whose address becomes one of this stack's. Returns whether
+    /// it does; false if another stack has the endpoint or memory is short.
+    bool listen(const Model::Endpoint &endpoint);
 
-    /// Opens a flow from \a localPort to \a service; Opened or Aborted follows.
-    /// Returns the flow's key, or nothing if the port is in use or the flow can't be opened.
+    /// Opens a flow from \a localPort of the first address to \a service; Opened or Aborted
+    /// follows. Returns the flow's key, or nothing if the port is in use or the flow can't be
+    /// opened.
     std::optional<Model::FlowKey> connect(std::uint16_t localPort, const Model::Endpoint &service);
 
     /// Processes an IPv4 packet from the network. Drops it if memory is short.
@@ -151,8 +155,9 @@
     /// if it is not established, or has bytes that are unsent, unacknowledged or undelivered.
     std::optional<TcpState> exportFlow(const Model::FlowKey &flow);
 
-    /// Resumes a flow that a stack exported; replaces a flow with the same key. Returns false if
-    /// \a state belongs to another address or has no segment size, or memory is short.
+    /// Resumes a flow that a stack exported; replaces a flow with the same key. The flow's address
+    /// becomes one of this stack's. Returns false if \a state has no segment size, or memory is
+    /// short.
     bool importFlow(const TcpState &state);
 
     /// Returns the number of flows, without those that linger after close().
--- a/tests/auto/stack/tst_tcpstack.cpp
+++ b/tests/auto/stack/tst_tcpstack.cpp
@@ -11,6 +11,7 @@
 
 static constexpr std::uint32_t CallerAddress = 0x0a630001;
 static constexpr std::uint32_t ServiceAddress = 0x0a280001;
+static constexpr std::uint32_t LaterAddress = 0x0a280002;
 static constexpr std::uint16_t PacketBytes = 1240;
 static constexpr int MaxRounds = 200'000;
 
@@ -99,7 +100,7 @@
 TEST(TcpStack, FlowSurvivesManyMoves)
 {
     StackPair pair;
-    CHECK_TRUE(pair.service.listen(80));
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
     const auto flow = pair.caller.connect(10000, {ServiceAddress, 80});
     CHECK_TRUE(flow && pair.exchangeUntil([&] { return pair.isOpen; }));
 
@@ -124,7 +125,7 @@
 TEST(TcpStack, FlowWithUnacknowledgedBytesIsNotExported)
 {
     StackPair pair;
-    CHECK_TRUE(pair.service.listen(80));
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
     const auto flow = pair.caller.connect(10001, {ServiceAddress, 80});
     CHECK_TRUE(flow && pair.exchangeUntil([&] { return pair.isOpen; }));
     pair.service.write(*flow, "not acknowledged yet");
@@ -135,7 +136,7 @@
 TEST(TcpStack, AbandonedFlowSendsNoReset)
 {
     StackPair pair;
-    CHECK_TRUE(pair.service.listen(80));
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
     const auto flow = pair.caller.connect(10002, {ServiceAddress, 80});
     CHECK_TRUE(flow && pair.exchangeUntil([&] { return pair.isOpen; }));
     pair.service.abandon(*flow);
@@ -143,3 +144,60 @@
         pair.exchange();
     CHECK_FALSE(pair.isBroken);
 }
+
+// A service whose address changes keeps its open flows and accepts new ones at the new address.
+TEST(TcpStack, FlowsToTheEarlierAddressGoOnWhileNewOnesOpenAtTheLaterOne)
+{
+    StackPair pair;
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
+    const auto earlier = pair.caller.connect(10003, {ServiceAddress, 80});
+    CHECK_TRUE(earlier && pair.exchangeUntil([&] { return pair.isOpen; }));
+
+    CHECK_TRUE(pair.service.listen({LaterAddress, 81}));
+    CHECK_TRUE(pair.service.listen({LaterAddress, 81}));
+    pair.isOpen = false;
+    const auto later = pair.caller.connect(10004, {LaterAddress, 81});
+    CHECK_TRUE(later && pair.exchangeUntil([&] { return pair.isOpen; }));
+
+    CHECK_EQUAL(4u, pair.service.write(*earlier, "feed"));
+    CHECK_TRUE(pair.exchangeUntil([&] { return pair.callerReceived == "feed"; }));
+    CHECK_EQUAL(5u, pair.service.write(*later, "order"));
+    CHECK_TRUE(pair.exchangeUntil([&] { return pair.callerReceived == "feedorder"; }));
+    CHECK_FALSE(pair.isBroken);
+}
+
+// An agent that started after the change takes over flows to the address of before.
+TEST(TcpStack, FlowToAnotherAddressIsTakenOver)
+{
+    StackPair pair;
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
+    const auto flow = pair.caller.connect(10005, {ServiceAddress, 80});
+    CHECK_TRUE(flow && pair.exchangeUntil([&] { return pair.isOpen; }));
+    const auto state = pair.service.exportFlow(*flow);
+    CHECK_TRUE(state.has_value());
+
+    TcpStack receiver(
+        LaterAddress, PacketBytes, [&](Tunnel::Bytes packet) { pair.toCaller.send(packet); },
+        [] {});
+    CHECK_TRUE(receiver.listen({LaterAddress, 80}));
+    CHECK_TRUE(receiver.importFlow(*state));
+    CHECK_EQUAL(4u, receiver.write(*flow, "feed"));
+    CHECK_TRUE(pair.exchangeUntil([&] {
+        pair.toService.deliverTo(receiver);
+        return pair.callerReceived == "feed" && receiver.isFullyAcknowledged(*flow);
+    }));
+    CHECK_FALSE(pair.isBroken);
+}
+
+// Interfaces are limited; those without flows make room.
+TEST(TcpStack, AddressesWithoutFlowsMakeRoomForNewOnes)
+{
+    StackPair pair;
+    CHECK_TRUE(pair.service.listen({ServiceAddress, 80}));
+    const auto flow = pair.caller.connect(10006, {ServiceAddress, 80});
+    CHECK_TRUE(flow && pair.exchangeUntil([&] { return pair.isOpen; }));
+    for (std::uint32_t address = LaterAddress; address < LaterAddress + 300; ++address)
+        CHECK_TRUE(pair.service.listen({address, 80}));
+    CHECK_EQUAL(4u, pair.service.write(*flow, "feed"));
+    CHECK_TRUE(pair.exchangeUntil([&] { return pair.callerReceived == "feed"; }));
+}
--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -52,6 +52,16 @@
     return result
 
 
+def restart_agent(deployment, name):
+    """Restarts an agent with SIGTERM and waits until it is ready."""
+    process = deployment.processes[name]
+    process.send_signal(signal.SIGTERM)
+    process.wait(timeout=60)
+    deployment.start_daemon(name, deployment.agents[name])
+    deployment.wait_for(name, lambda: deployment.state(name)["state"] == "ready")
+    time.sleep(0.5)
+
+
 def start_small(deployment, balancers=3):
     deployment.start((4, 1), balancers)
 
@@ -86,12 +96,7 @@
 
     def replace():
         for name in names:
-            process = deployment.processes[name]
-            process.send_signal(signal.SIGTERM)
-            process.wait(timeout=60)
-            deployment.start_daemon(name, deployment.agents[name])
-            deployment.wait_for(name, lambda: deployment.state(name)["state"] == "ready")
-            time.sleep(0.5)
+            restart_agent(deployment, name)
 
     under_load(deployment, 25, replace, ZERO_WITHOUT_BREAKAGE)
     require(deployment.processes[names[0]].poll() is None, "the first agent is not running")
@@ -219,6 +224,47 @@
     under_load(deployment, 16, reuse, ZERO_WITHOUT_BREAKAGE)
 
 
+@scenario
+def services_exchange_addresses(deployment):
+    """Two services exchange addresses: open flows stay, new ones go to the other service.
+
+    Guards against packets of open flows that only visit agents of the service which has the address
+    now, and against agents that accept and take over flows at their first address only. Balancers
+    and agents are restarted after the change: they know the newest configuration only.
+    """
+    start_small(deployment)
+    first, second = deployment.services
+    names = [name for name in deployment.agents if name.startswith(first)]
+    newcomers = []
+
+    def exchange():
+        answers = json.loads(strip_comments(deployment.answers_path.read_text()))
+        one, other = answers["services"]
+        one["address"], other["address"] = other["address"], one["address"]
+        deployment.accept_configuration(deployment.write_settings("exchanged", answers))
+        deployment.wait_for("generation 2", lambda: all(
+            deployment.state(name)["generation"] == 2 for name in deployment.running_processes()))
+        deployment.services = {service["name"]: service["address"] for service in answers["services"]}
+        newcomers.append(deployment.start_callers("newcomers", second, "10.99.0.2", 8, orders=5,
+                                                  feeds=5, manifests=0))
+        for number in range(3):
+            deployment.start_balancer(f"new-{number}", "new")
+            deployment.stop_balancer(f"balancer-{number}")
+            time.sleep(0.5)
+        for name in names[:3]:
+            restart_agent(deployment, name)
+
+    # Flows that are never replaced, so that none opens after the change.
+    result = under_load(deployment, 25, exchange, ZERO_WITHOUT_BREAKAGE, mean_requests=1_000_000)
+    require(result["flows"] == 52, f"flows: expected the 52 of the start, got {result['flows']}")
+    report = collect_reports(newcomers)[0]
+    log(json.dumps({key: value for key, value in report.items() if key != "orders"}))
+    require(report.get("answered", 0) > 0, "no request of a new flow was answered")
+    require(report.get("misdelivered", 0) == 0, "a new flow reached the service of before")
+    for key in ("brokenFlows", "notOpened"):
+        require(report.get(key, 0) == 0, f"{key} of new flows: expected 0, got {report.get(key)}")
+
+
 @scenario
 def operators_race(deployment):
     """Of six operators that accept on top of one generation, one succeeds; five get a conflict."""
