--- a/tests/auto/stack/tst_tcpstack.cpp
+++ b/tests/auto/stack/tst_tcpstack.cpp
@@ -166,7 +166,7 @@
     CHECK_FALSE(pair.isBroken);
 }
 
-// An agent that started after the change takes over flows to the address of before.
+// An agent that started after its service changed its address takes over flows to the earlier one.
 TEST(TcpStack, FlowToAnotherAddressIsTakenOver)
 {
     StackPair pair;
--- a/tests/system/deployment.py
+++ b/tests/system/deployment.py
@@ -16,6 +16,7 @@
 BIN = pathlib.Path(os.environ.get("GYPSUMWING_BIN", ROOT / "build" / "bin"))
 HOST = "127.0.0.1"
 PORTS_PER_DEPLOYMENT = 200
+CONTROL_LINES = 30  # of each process, printed after a failure
 
 
 def log(text):
@@ -93,6 +94,13 @@
             process.wait()
         self.folder.cleanup()
 
+    def print_control_lines(self):
+        """Prints the latest log lines of each process, except those about single flows."""
+        for path in sorted(self.logs.glob("*.log")):
+            lines = [line for line in path.read_text(errors="replace").splitlines()
+                     if " flow=" not in line]
+            log("\n".join([f"-- {path.name}", *lines[-CONTROL_LINES:]]))
+
     # Stand-ins
 
     def start_stand_ins(self):
--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -378,6 +378,7 @@
         try:
             SCENARIOS[sys.argv[1]](deployment)
         except (ScenarioFailed, RuntimeError) as error:
+            deployment.print_control_lines()
             log(f"failed: {error}")
             return 1
     log("passed")
