--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -40,9 +40,8 @@
     return signals;
 }
 
-static int run(const Configuration::Settings &settings)
+static int run(const Configuration::Settings &settings, const sigset_t &signals)
 {
-    const sigset_t signals = blockStopSignals();
     const auto waitForStop = [&signals] {
         // The roles that use this don't reload their settings, so SIGHUP is ignored.
         for (int signal = SIGHUP; signal == SIGHUP;)
@@ -74,6 +73,8 @@
 
 static int main(int argc, char **argv)
 {
+    // Before anything else: a signal that arrives while the settings are read waits for its reader.
+    const sigset_t signals = blockStopSignals();
     gflags::SetUsageMessage("--settings FILE [--check] [--log_level LEVEL]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto level = Observability::levelFromName(FLAGS_log_level);
@@ -85,10 +86,10 @@
     }
     Observability::setLogLevel(*level);
     return boost::leaf::try_handle_all(
-        []() -> boost::leaf::result<int> {
+        [&signals]() -> boost::leaf::result<int> {
             BOOST_LEAF_AUTO(document, Configuration::Document::load(FLAGS_settings));
             BOOST_LEAF_AUTO(settings, Configuration::readSettings(document));
-            return FLAGS_check ? 0 : run(settings);
+            return FLAGS_check ? 0 : run(settings, signals);
         },
         [](const Configuration::FileError &error) {
             fmt::print(stderr, "{}\n", Configuration::errorText(error));
