A leave notice ends only the start of the server that sent it

Found by reading (review): a leave that arrives late, after the server started again under its id, stopped new flows to the living server, since the notice was processed by id alone. It carries the start time of its sender, which is now compared.

--- a/src/daemon/forwardingagentprocess.cpp
+++ b/src/daemon/forwardingagentprocess.cpp
@@ -95,10 +95,11 @@
          [&traffic](const Forwarding::BackendHeartbeat &heartbeat) {
              return handleHeartbeat(traffic, heartbeat);
          },
-         [&traffic](const std::string &id) {
-             log(Level::Info, "backend-leaves", {{"backend", id}});
-             traffic.withCore([&id](Forwarding::AgentCore &core) {
-                 core.onBackendLeaving(std::chrono::steady_clock::now(), id);
+         [&traffic](const Forwarding::BackendDeparture &departure) {
+             log(Level::Info, "backend-leaves",
+                 {{"backend", departure.id}, {"born", departure.startTimeMs.value_or(0)}});
+             traffic.withCore([&departure](Forwarding::AgentCore &core) {
+                 core.onBackendLeaving(std::chrono::steady_clock::now(), departure);
              });
          }});
     const auto state = [&] { return stateOf(process.name, traffic); };
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -332,9 +332,11 @@
     return !director_.mayHoldUnknownFlows();
 }
 
-void AgentCore::onBackendLeaving(TimePoint, const std::string &id)
+void AgentCore::onBackendLeaving(TimePoint, const BackendDeparture &departure)
 {
-    if (!backend_ || backend_->id != id)
+    if (!backend_ || backend_->id != departure.id)
+        return;
+    if (departure.startTimeMs && *departure.startTimeMs != backend_->startTimeMs)
         return;
     isBackendLeaving_ = true;
     // The server ends now, so that packets of flows that this agent does not know would be lost.
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -36,6 +36,13 @@
     std::chrono::milliseconds age{0}; ///< time since its start; wrong if the clock was set
 };
 
+/// Notice of a backend server that it ends permanently.
+struct BackendDeparture
+{
+    std::string id;
+    std::optional<std::int64_t> startTimeMs; ///< of the start that ends; any if not stated
+};
+
 /// Result of processing a heartbeat.
 enum class HeartbeatOutcome {
     Accepted,     ///< the agent uses the contents of the heartbeat
@@ -136,9 +143,9 @@
     /// Processes a heartbeat of the backend server.
     HeartbeatOutcome onHeartbeat(TimePoint now, const BackendHeartbeat &heartbeat);
 
-    /// Stops accepting new flows, since the backend server \a id ends permanently. Ignored if that
-    /// is not the current one.
-    void onBackendLeaving(TimePoint now, const std::string &id);
+    /// Stops accepting new flows, since the backend server ends permanently. Ignored if \a
+    /// departure is of another server than the current one, or of an earlier start of it.
+    void onBackendLeaving(TimePoint now, const BackendDeparture &departure);
 
     /// Processes a control datagram of another process.
     void onDatagram(TimePoint now, const Tunnel::Datagram &datagram);
--- a/tests/auto/forwarding/tst_fleet.cpp
+++ b/tests/auto/forwarding/tst_fleet.cpp
@@ -310,7 +310,7 @@
     const auto service = Model::serviceId("order-desk");
     CHECK_TRUE(std::holds_alternative<Forwarding::DeliverToBackend>(
         core.onCallerPacket(simulation.now(), service, header, data)));
-    core.onBackendLeaving(simulation.now(), simulation.agent(0).backend.id);
+    core.onBackendLeaving(simulation.now(), {simulation.agent(0).backend.id, std::nullopt});
     CHECK_TRUE(std::holds_alternative<Forwarding::ForwardPacket>(
         core.onCallerPacket(simulation.now(), service, header, data)));
 }
--- a/tests/auto/platform_adapter/tst_backendheartbeat.cpp
+++ b/tests/auto/platform_adapter/tst_backendheartbeat.cpp
@@ -37,6 +37,15 @@
     LONGS_EQUAL(4, heartbeat->sequence);
 }
 
+TEST(BackendHeartbeat, ReadsTheStartThatEnds)
+{
+    const auto departure = Platform::readDeparture("i-1", R"({"born": 1771795359116})");
+    STRCMP_EQUAL("i-1", departure.id.c_str());
+    CHECK_TRUE(departure.startTimeMs == 1771795359116);
+    for (const char *body : {"", "{}", "[]", "{\"born\": \"yesterday\"}", "\xff"})
+        CHECK_FALSE(Platform::readDeparture("i-1", body).startTimeMs.has_value());
+}
+
 TEST(BackendHeartbeat, RejectsMissingMistypedAndInvalidFields)
 {
     for (const char *key : {"service", "address", "zone", "slots", "state", "sequence", "born"}) {
