Only a server's first heartbeat shows that no agent delivered to it before

Cause: a restarted agent took the server for new since its start was less than half an interval ago by the clock, and denied its flows for good. The number of the heartbeat, 2 there, contradicts that: a new start counts from 0 or 1. Now both must agree.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -49,6 +49,10 @@
 /// Servers repeat only unacknowledged ones sooner.
 static constexpr double RepetitionShare = 0.5;
 
+/// Sequence number of the first heartbeat of a server, some of which count from 0. A later one may
+/// look as young as the first if the clock was set back.
+static constexpr std::uint64_t FirstSequence = 1;
+
 /// Heartbeat intervals after the start of an agent, after which a backend server that sent no
 /// heartbeat does not run.
 static constexpr double AbsentServerFactor = 1.5;
@@ -318,7 +322,7 @@
 /// thus delivered a SYN to it.
 bool AgentCore::isFirstAcknowledged(const BackendHeartbeat &heartbeat) const
 {
-    return heartbeat.age.count() >= 0
+    return heartbeat.sequence <= FirstSequence && heartbeat.age.count() >= 0
            && heartbeat.age < options_.heartbeatInterval * RepetitionShare;
 }
 
