An agent does not hold a SYN that its server returned

Seen (review): a server that says ready but takes no further flows returned a SYN; the last agent of the chain held it, delivered it again at once, and so on: 515,604 deliveries in 10 s. Now such a SYN is passed on or dropped; the caller retransmits it.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -277,7 +277,11 @@
         if (header.chain.isEmpty())
             return Flows::DropCause::NoOwner;
     }
-    return applyDecision(now, director_.onReturnedByBackend(now, header, packet), header, packet);
+    const Flows::Decision decision = director_.onReturnedByBackend(now, header, packet);
+    // A SYN is not held for a server that returned it; the caller retransmits it.
+    if (const auto *drop = std::get_if<Flows::Drop>(&decision.verdict); drop && packet.opensFlow())
+        return drop->cause;
+    return applyDecision(now, decision, header, packet);
 }
 
 HeartbeatOutcome AgentCore::onHeartbeat(TimePoint now, const BackendHeartbeat &heartbeat)
