A newer configuration is fetched from the latest process that reported it

Found by reading (review): a balancer that the store doesn't serve asked only the peer that first reported a newer configuration, also when that peer was gone. Every report of that generation now names a peer; the time since it is known stays that of the first. Test: NewerConfigurationIsFetchedFromTheLatestProcessThatHasIt.

--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -412,13 +412,23 @@
         });
 }
 
+/// Records that the process at \a pages has the configuration \a generation. Of the processes that
+/// have the newest one, the latest to report is asked for it: the first may have ended.
+void BalancerCore::onGeneration(TimePoint now, Model::Generation generation,
+                                const Model::Endpoint &pages)
+{
+    if (generation <= configuration_.generation || generation < newest_.generation)
+        return;
+    const TimePoint since = generation == newest_.generation ? newest_.since : now;
+    newest_ = {generation, pages, since};
+}
+
 std::vector<OutgoingDatagram> BalancerCore::onDatagram(TimePoint now,
                                                        const Tunnel::Datagram &datagram)
 {
     std::vector<OutgoingDatagram> answers;
     if (const auto *report = std::get_if<Tunnel::Report>(&datagram.content)) {
-        if (datagram.generation > std::max(newest_.generation, configuration_.generation))
-            newest_ = {datagram.generation, report->sender.instance.peer, now};
+        onGeneration(now, datagram.generation, report->sender.instance.peer);
         lostFlowSearch_.onReport(now, *report);
         if (report->sender.role == Tunnel::Role::Agent)
             agentSelector_.onReport(now, *report, isJoining(now, report->sender));
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -173,6 +173,7 @@
     bool isJoining(TimePoint now, const Tunnel::Member &agent) const;
     bool searchOwner(TimePoint now, const Tunnel::TcpPacket &packet,
                      const Routing::ServiceTable *service);
+    void onGeneration(TimePoint now, Model::Generation generation, const Model::Endpoint &pages);
     void mergeRecord(TimePoint now, bool presumesUnchanged);
     void onRosterChanged(TimePoint now);
     void rebuild();
