A search for a flow's owner skips no agent whose peers have other tables

The packet now carries the score down to which agents were asked, which doesn't depend on who else is known. An agent that chooses the next part of the path without a complete view marks the packet as uncertain, and the last one then denies nothing.

Found on the way: an agent with a redirect to the owner dropped a packet that had visited eight agents, so that flows of large services were not found by a search that met the redirect late. A search may now follow it.

--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -29,16 +29,23 @@
     return {Drop{cause}, std::nullopt, false};
 }
 
+/// Returns how often agents may forward the packet: a search covers all instances of the service,
+/// and needs more passes.
+static std::uint8_t maxPasses(const Tunnel::PacketHeader &header)
+{
+    return header.searched.isStart() ? MaxPasses : MaxSearchPasses;
+}
+
 /// Forwards the packet to the next hop of its chain, or drops it with \a endCause at the end.
 static Decision forwardToNext(Tunnel::PacketHeader header, DropCause endCause)
 {
     if (std::size_t(header.position) + 1 >= header.chain.size())
         return drop(endCause);
-    // A search covers all instances of the service in order of rank and needs more passes.
-    if (header.passes >= (header.ranksBefore == 0 ? MaxPasses : MaxSearchPasses))
+    if (header.passes >= maxPasses(header))
         return drop(DropCause::TooManyPasses);
     ++header.position;
     ++header.passes;
+    header.isToClaimant = false;
     return {ForwardToHop{header}, std::nullopt, false};
 }
 
@@ -81,7 +88,7 @@
 Decision FlowDirector::forwardToOwner(const Tunnel::PacketHeader &header,
                                       const Redirect &redirect) const
 {
-    if (header.passes >= MaxPasses)
+    if (header.passes >= maxPasses(header))
         return drop(DropCause::TooManyPasses);
     Tunnel::PacketHeader forwarded = header;
     forwarded.chain = {};
@@ -196,7 +203,8 @@
     Tunnel::PacketHeader forwarded = header;
     forwarded.chain = chain;
     forwarded.position = 0;
-    forwarded.ranksBefore = std::uint8_t(std::min<std::size_t>(next, MaxSearchPasses));
+    forwarded.searched = next;
+    forwarded.isToClaimant = false;
     ++forwarded.passes;
     return forwarded;
 }
--- a/src/libs/flows/ownersearch.cpp
+++ b/src/libs/flows/ownersearch.cpp
@@ -23,7 +23,8 @@
     forwarded.originContinues = true;
     forwarded.position = 0;
     forwarded.redirects = 0;
-    forwarded.ranksBefore = 0;
+    forwarded.searched = {};
+    forwarded.isToClaimant = false;
     forwarded.passes = asked ? 1 : 0;
     for (; next != owners.end(); ++next) {
         const Routing::ServiceTable &service = **next;
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -145,8 +145,11 @@
 {
     if (header.originSearches)
         return Flows::DropCause::NoOwner;
-    if (const auto continued = Flows::continueSearch(*table_, header, packet.flow))
+    if (auto continued = Flows::continueSearch(*table_, header, packet.flow)) {
+        // The next agents can't tell whom this table lacks.
+        continued->isUncertain |= !isViewComplete(now);
         return ForwardPacket{{service_, header.generation, *continued}, continued->chain[0].tunnel};
+    }
     if (header.originContinues) {
         if (!header.origin.isValid())
             return Flows::DropCause::NoOwner;
@@ -156,17 +159,31 @@
     }
     // A balancer with an older configuration does not know all services that may own the flow.
     const bool isOutdated = header.generation < newestGeneration_;
-    if (packet.rst || packet.opensFlow() || isOutdated || !isViewComplete(now))
+    if (packet.rst || packet.opensFlow() || isOutdated || header.isUncertain
+        || !isViewComplete(now))
         return Flows::DropCause::NoOwner;
-    return ResetFlow{packet.flow, packet.acknowledgement, {options_.self.instance.service}};
+    return ResetFlow{
+        packet.flow, packet.acknowledgement, {options_.self.instance.service}, denialBasis(now)};
 }
 
-/// Whether the roster has not changed for SettlingTime and no instance of the service is suspect:
-/// all instances that may own a flow are then in the table, and could have claimed it.
+DenialBasis AgentCore::denialBasis(TimePoint now) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return {duration_cast<milliseconds>(now - started_),
+            duration_cast<milliseconds>(now - lastRosterChange_.value_or(started_)),
+            roster_.agents().size(), roster_.scope(now), backend_ ? backend_->sequence : 0};
+}
+
+/// Whether all instances that may own a flow are in the table, and could have claimed it: a
+/// balancer that knew the members of before its start sent its roster, the roster has not changed
+/// for SettlingTime, and no instance of the service is suspect.
 bool AgentCore::isViewComplete(TimePoint now) const
 {
     if (!lastRosterChange_ || now - *lastRosterChange_ < SettlingTime)
         return false;
+    if (roster_.scope(now) == Tunnel::RosterScope::Reported)
+        return false;
     const auto &instances = table_->instances();
     return std::none_of(instances.begin(), instances.end(), [](const Model::Instance &instance) {
         return instance.state == Model::InstanceState::Suspect;
--- a/src/libs/routing/routingtable.cpp
+++ b/src/libs/routing/routingtable.cpp
@@ -218,32 +218,38 @@
 }
 
 ServiceTable::Continuation ServiceTable::chainAfter(std::uint64_t flowHash, const Chain &tried,
-                                                    std::size_t first, bool includesSuspects) const
+                                                    const SearchPosition &position,
+                                                    bool includesSuspects) const
 {
     const std::size_t bucket = bucketOf(flowHash);
-    // Suspect instances are tried last, because a search ends at an instance that isn't running.
     std::vector<std::tuple<bool, double, std::uint16_t>> ranking;
     ranking.reserve(instances_.size());
     for (std::size_t index = 0; index < instances_.size(); ++index) {
         const Model::Instance &instance = instances_[index];
         const bool isSuspect = instance.state == Model::InstanceState::Suspect;
-        if (isSuspect && !includesSuspects)
+        if (isSuspect ? !includesSuspects : position.isAmongSuspects)
             continue;
-        ranking.emplace_back(isSuspect, -score(ids_[index], instance.capacity, bucket), index);
+        const double instanceScore = score(ids_[index], instance.capacity, bucket);
+        const bool isInCurrentPart = isSuspect == position.isAmongSuspects;
+        const bool wasAsked =
+            isInCurrentPart && position.score > 0 && instanceScore >= position.score;
+        if (!wasAsked)
+            ranking.emplace_back(isSuspect, -instanceScore, index);
     }
     std::sort(ranking.begin(), ranking.end());
 
-    Continuation continuation;
-    std::size_t rank = first;
-    for (; rank < ranking.size() && continuation.chain.size() < MaxChainLength; ++rank) {
-        const Hop hop = hopOf(std::get<std::uint16_t>(ranking[rank]));
+    Continuation continuation{{}, position};
+    for (const auto &[isSuspect, negatedScore, index] : ranking) {
+        if (continuation.chain.size() == MaxChainLength)
+            break;
+        const Hop hop = hopOf(index);
         const bool wasTried = std::any_of(tried.begin(), tried.end(), [&hop](const Hop &other) {
             return other.instance == hop.instance;
         });
         if (!wasTried)
             continuation.chain.append(hop);
+        continuation.next = {-negatedScore, isSuspect};
     }
-    continuation.next = rank;
     return continuation;
 }
 
--- a/src/libs/routing/routingtable.h
+++ b/src/libs/routing/routingtable.h
@@ -51,6 +51,19 @@
     std::size_t size_ = 0;
 };
 
+/// How far a search over all instances of a service got. It names no rank, because the instances
+/// that a packet visits may know different ones, and an instance must not be skipped if another one
+/// is missing in the next table.
+struct SearchPosition
+{
+    /// Instances with a greater or equal score for the flow were asked; 0 if none was.
+    double score = 0;
+    bool isAmongSuspects = false; ///< all others were asked, and suspect ones down to \c score
+
+    bool isStart() const { return score == 0 && !isAmongSuspects; }
+    bool operator==(const SearchPosition &) const = default;
+};
+
 enum class PacketKind {
     OpensFlow,     ///< a SYN; visits only instances that accept new flows
     ContinuesFlow, ///< any other packet; visits draining and suspect instances too
@@ -91,18 +104,19 @@
     /// Returns whether \a instance belongs to the service and is not suspect.
     bool isRunning(Model::InstanceId instance) const;
 
-    /// The next instances in the order of their rank, and the rank at which a search continues.
+    /// The next instances of a search, and where it continues after them.
     struct Continuation
     {
         Chain chain;
-        std::size_t next = 0; ///< rank at which the search continues after the chain
+        SearchPosition next;
     };
 
-    /// Returns the next instances from rank \a first on that are not in \a tried; an empty chain if
-    /// none is left. Suspect instances are left out unless \a includesSuspects. Used to find the
-    /// owner of a flow that no instance of its chain owns.
-    Continuation chainAfter(std::uint64_t flowHash, const Chain &tried, std::size_t first,
-                            bool includesSuspects) const;
+    /// Returns the next instances after \a position that are not in \a tried; an empty chain if
+    /// none is left. Suspect instances come last, since a search ends at one that doesn't run; they
+    /// are left out unless \a includesSuspects. Used to find the owner of a flow that no instance
+    /// of its chain owns.
+    Continuation chainAfter(std::uint64_t flowHash, const Chain &tried,
+                            const SearchPosition &position, bool includesSuspects) const;
 
     /// Returns the memory used by the ranking, in bytes.
     std::size_t memoryBytes() const;
--- a/src/libs/rpc/datagram.capnp
+++ b/src/libs/rpc/datagram.capnp
@@ -32,6 +32,12 @@
   suspect @2;
 }
 
+enum RosterScope {
+  reported @0;             # the members that reported to the balancer since its start
+  recorded @1;             # these and the ones in the directory
+  complete @2;             # all; a member that the roster omits is gone
+}
+
 struct Member {
   name @0 :Text;
   service @1 :Text;        # empty for a balancer
@@ -43,6 +49,7 @@
   role @7 :Role;
   state @8 :State;
   silentMs @9 :UInt32;     # time since any process received a report from the member itself
+  unheard @10 :Bool;       # only known from the directory
 }
 
 struct Datagram {
@@ -55,13 +62,17 @@
       passes @4 :UInt8;      # number of times that agents forwarded the packet
       opensFlow @5 :Bool;
       redirects @16 :UInt8;  # number of redirects that the packet followed
-      ranksBefore @17 :UInt8; # instances ranked before the chain and already tried
+      ranksBefore @17 :UInt8; # obsolete; searchedScore replaces it
       originAddress @18 :UInt32; # the balancer that received the packet from the fabric
       originPort @19 :UInt16;
       originSearches @42 :Bool; # that balancer asks all agents for the flow's owner
       originContinues @43 :Bool; # that balancer asks further services; returned to it at the end
       isUncertain @44 :Bool;     # an agent that may own the flow could not be asked
       servicesAsked @45 :UInt8;  # services that were asked before the present one
+      searchedScore @46 :Float64; # the search asked the instances down to this score; 0: none
+      searchesSuspects @47 :Bool; # the search got to the suspect instances
+      toClaimant @50 :Bool;      # the receiver told the sender that it owns the flow
+      restartAnnounced @48 :Bool; # an agent of the service that may own the flow restarts
     }
     redirects :group {
       owner @6 :Hop;
@@ -99,6 +110,7 @@
       afterName @30 :Text;       # the name before the first member; empty in the first part
       endsRoster @31 :Bool;      # no member follows the last one
       rosterOf @32 :Text;        # name of the balancer that keeps the roster
+      scope @49 :RosterScope;
     }
     ownerQuery :group {
       askerAddress @35 :UInt32;
--- a/src/libs/rpc/datagram.capnp.h
+++ b/src/libs/rpc/datagram.capnp.h
@@ -31,6 +31,13 @@
   SUSPECT,
 };
 CAPNP_DECLARE_ENUM(State, d0504e22ba4818dd);
+CAPNP_DECLARE_SCHEMA(f26da9a784b55dc5);
+enum class RosterScope_f26da9a784b55dc5: uint16_t {
+  REPORTED,
+  RECORDED,
+  COMPLETE,
+};
+CAPNP_DECLARE_ENUM(RosterScope, f26da9a784b55dc5);
 CAPNP_DECLARE_SCHEMA(f5d0aba2e482ed41);
 CAPNP_DECLARE_SCHEMA(c582d2b525dee5a1);
 CAPNP_DECLARE_SCHEMA(81ab242d1fab8f17);
@@ -82,6 +89,8 @@
 
 typedef ::capnp::schemas::State_d0504e22ba4818dd State;
 
+typedef ::capnp::schemas::RosterScope_f26da9a784b55dc5 RosterScope;
+
 struct Member {
   Member() = delete;
 
@@ -90,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5d0aba2e482ed41, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f5d0aba2e482ed41, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -496,6 +505,8 @@
 
   inline  ::uint32_t getSilentMs() const;
 
+  inline bool getUnheard() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -566,6 +577,9 @@
   inline  ::uint32_t getSilentMs();
   inline void setSilentMs( ::uint32_t value);
 
+  inline bool getUnheard();
+  inline void setUnheard(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -780,6 +794,14 @@
 
   inline  ::uint8_t getServicesAsked() const;
 
+  inline double getSearchedScore() const;
+
+  inline bool getSearchesSuspects() const;
+
+  inline bool getRestartAnnounced() const;
+
+  inline bool getToClaimant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -848,6 +870,18 @@
   inline  ::uint8_t getServicesAsked();
   inline void setServicesAsked( ::uint8_t value);
 
+  inline double getSearchedScore();
+  inline void setSearchedScore(double value);
+
+  inline bool getSearchesSuspects();
+  inline void setSearchesSuspects(bool value);
+
+  inline bool getRestartAnnounced();
+  inline void setRestartAnnounced(bool value);
+
+  inline bool getToClaimant();
+  inline void setToClaimant(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1403,6 +1437,8 @@
   inline bool hasRosterOf() const;
   inline  ::capnp::Text::Reader getRosterOf() const;
 
+  inline  ::Rpc::RosterScope getScope() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1455,6 +1491,9 @@
   inline void adoptRosterOf(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRosterOf();
 
+  inline  ::Rpc::RosterScope getScope();
+  inline void setScope( ::Rpc::RosterScope value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2007,6 +2046,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::getUnheard() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getUnheard() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setUnheard(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Rpc::Datagram::Which Datagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS);
@@ -2069,11 +2122,15 @@
   _builder.setDataField<bool>(::capnp::bounded<145>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<146>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<147>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<148>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<149>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<150>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<19>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<24>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint8_t>(::capnp::bounded<25>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint16_t>(::capnp::bounded<13>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename Datagram::Packet::Builder(_builder);
 }
@@ -2223,6 +2280,7 @@
   _builder.setDataField<Datagram::Which>(
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, Datagram::ROSTER);
   _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint16_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
@@ -2465,6 +2523,62 @@
       ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
 }
 
+inline double Datagram::Packet::Reader::getSearchedScore() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double Datagram::Packet::Builder::getSearchedScore() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setSearchedScore(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Packet::Reader::getSearchesSuspects() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Packet::Builder::getSearchesSuspects() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setSearchesSuspects(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<148>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Packet::Reader::getRestartAnnounced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Packet::Builder::getRestartAnnounced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setRestartAnnounced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<149>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Packet::Reader::getToClaimant() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<150>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Packet::Builder::getToClaimant() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<150>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Packet::Builder::setToClaimant(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<150>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Redirects::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3045,6 +3159,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::Rpc::RosterScope Datagram::Roster::Reader::getScope() const {
+  return _reader.getDataField< ::Rpc::RosterScope>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Rpc::RosterScope Datagram::Roster::Builder::getScope() {
+  return _builder.getDataField< ::Rpc::RosterScope>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Roster::Builder::setScope( ::Rpc::RosterScope value) {
+  _builder.setDataField< ::Rpc::RosterScope>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Datagram::OwnerQuery::Reader::getAskerAddress() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
--- a/src/libs/tunnel/datagram.cpp
+++ b/src/libs/tunnel/datagram.cpp
@@ -15,6 +15,19 @@
 static constexpr double PerMille = 1000;
 static constexpr std::size_t MaxDatagramWords = 65536 / sizeof(capnp::word);
 
+const char *rosterScopeText(RosterScope scope)
+{
+    switch (scope) {
+    case RosterScope::Reported:
+        return "reported";
+    case RosterScope::Recorded:
+        return "recorded";
+    case RosterScope::Complete:
+        return "complete";
+    }
+    return "unknown";
+}
+
 static void writeHop(Rpc::Hop::Builder builder, const Routing::Hop &hop)
 {
     builder.setInstance(std::uint64_t(hop.instance));
@@ -40,13 +53,16 @@
     packet.setPasses(header.passes);
     packet.setRedirects(header.redirects);
     packet.setOpensFlow(header.opensFlow);
-    packet.setRanksBefore(header.ranksBefore);
+    packet.setSearchedScore(header.searched.score);
+    packet.setSearchesSuspects(header.searched.isAmongSuspects);
     packet.setOriginAddress(header.origin.address);
     packet.setOriginPort(header.origin.port);
     packet.setOriginSearches(header.originSearches);
     packet.setOriginContinues(header.originContinues);
     packet.setIsUncertain(header.isUncertain);
     packet.setServicesAsked(header.servicesAsked);
+    packet.setToClaimant(header.isToClaimant);
+    packet.setRestartAnnounced(header.isRestartAnnounced);
 }
 
 static void writeFlow(Rpc::FlowEntry::Builder builder, const Model::FlowKey &key)
@@ -120,6 +136,7 @@
     builder.setRole(member.role == Role::Balancer ? Rpc::Role::BALANCER : Rpc::Role::AGENT);
     builder.setState(Rpc::State(std::uint16_t(instance.state)));
     builder.setSilentMs(std::uint32_t(member.sinceLastReport.count()));
+    builder.setUnheard(member.isUnheard);
 }
 
 static std::optional<Member> readMember(Rpc::Member::Reader reader)
@@ -136,6 +153,7 @@
     member.instance.state = Model::InstanceState(std::uint16_t(reader.getState()));
     member.role = reader.getRole() == Rpc::Role::BALANCER ? Role::Balancer : Role::Agent;
     member.sinceLastReport = std::chrono::milliseconds(reader.getSilentMs());
+    member.isUnheard = reader.getUnheard();
     if (member.instance.name.empty() || !member.instance.tunnel.isValid())
         return std::nullopt;
     return member;
@@ -163,6 +181,7 @@
     group.setRosterOf(part.balancer);
     group.setAfterName(part.afterName);
     group.setEndsRoster(part.isLast);
+    group.setScope(Rpc::RosterScope(std::uint16_t(part.scope)));
     auto members = group.initMembers(unsigned(part.members.size()));
     for (unsigned index = 0; index < members.size(); ++index)
         writeMember(members[index], part.members[index]);
@@ -228,12 +247,15 @@
     header.passes = packet.getPasses();
     header.redirects = packet.getRedirects();
     header.opensFlow = packet.getOpensFlow();
-    header.ranksBefore = packet.getRanksBefore();
+    const double score = packet.getSearchedScore();
+    header.searched = {score > 0 ? score : 0, packet.getSearchesSuspects()};
     header.origin = {packet.getOriginAddress(), packet.getOriginPort()};
     header.originSearches = packet.getOriginSearches();
     header.originContinues = packet.getOriginContinues();
     header.isUncertain = packet.getIsUncertain();
     header.servicesAsked = packet.getServicesAsked();
+    header.isToClaimant = packet.getToClaimant();
+    header.isRestartAnnounced = packet.getRestartAnnounced();
     return header;
 }
 
@@ -265,9 +287,15 @@
     return report;
 }
 
-static RosterPart readRoster(Rpc::Datagram::Roster::Reader group)
+static std::optional<RosterPart> readRoster(Rpc::Datagram::Roster::Reader group)
 {
-    RosterPart part{group.getRosterOf(), group.getAfterName(), group.getEndsRoster(), {}};
+    if (group.getScope() > Rpc::RosterScope::COMPLETE)
+        return std::nullopt;
+    RosterPart part{group.getRosterOf(),
+                    group.getAfterName(),
+                    group.getEndsRoster(),
+                    {},
+                    RosterScope(std::uint16_t(group.getScope()))};
     for (const auto entry : group.getMembers()) {
         if (auto member = readMember(entry))
             part.members.push_back(std::move(*member));
@@ -312,9 +340,13 @@
         datagram.content = std::move(*report);
         return datagram;
     }
-    case Rpc::Datagram::ROSTER:
-        datagram.content = readRoster(root.getRoster());
+    case Rpc::Datagram::ROSTER: {
+        auto part = readRoster(root.getRoster());
+        if (!part)
+            return std::nullopt;
+        datagram.content = std::move(*part);
         return datagram;
+    }
     case Rpc::Datagram::OWNER_QUERY: {
         const auto query = root.getOwnerQuery();
         datagram.content = OwnerQuery{{query.getAskerAddress(), query.getAskerPort()},
--- a/src/libs/tunnel/datagram.h
+++ b/src/libs/tunnel/datagram.h
@@ -20,14 +20,18 @@
     std::uint8_t passes = 0;    ///< number of times that agents forwarded the packet
     std::uint8_t redirects = 0; ///< number of redirects that the packet followed
     bool opensFlow = false;
-    std::uint8_t ranksBefore = 0; ///< instances ranked before the chain and already tried
-    Model::Endpoint origin;       ///< the balancer to notify of the flow's owner; may be invalid
-    bool originSearches = false;  ///< the origin asks all agents for the owner; see OwnerQuery
+    Routing::SearchPosition searched; ///< how far the search got, with the chain
+    Model::Endpoint origin;      ///< the balancer to notify of the flow's owner; may be invalid
+    bool originSearches = false; ///< the origin asks all agents for the owner; see OwnerQuery
     /// The flow may belong to another service: an agent at the end of the search returns the packet
     /// to the origin, which sends it to the next service.
     bool originContinues = false;
     bool isUncertain = false;       ///< an agent that may own the flow could not be asked
     std::uint8_t servicesAsked = 0; ///< services that were asked before the present one
+    bool isToClaimant = false;      ///< the receiver told the sender that it owns the flow
+    /// An agent of the service announced a restart and may own the flow, so that no other agent
+    /// should deliver the packet without knowing the flow.
+    bool isRestartAnnounced = false;
     Model::Generation generation{}; ///< the origin's configuration; encoded with the datagram
 };
 
@@ -86,6 +90,7 @@
     Role role = Role::Agent;
     /// Time since any process received a report from the member itself.
     std::chrono::milliseconds sinceLastReport{0};
+    bool isUnheard = false; ///< only known from the directory
 
     bool operator==(const Member &) const = default;
 };
@@ -108,6 +113,16 @@
     bool isLeaving = false;   ///< the sender leaves permanently after this report
 };
 
+/// Which members the roster of a balancer is certain to include.
+enum class RosterScope {
+    Reported, ///< those that reported to the balancer since its start
+    Recorded, ///< these and the ones in the directory
+    Complete, ///< all; a member that the roster omits is gone
+};
+
+/// Returns the name of \a scope in logs. Thread-safe.
+const char *rosterScopeText(RosterScope scope);
+
 /// All members of the sender's roster in a range of names, sorted by name.
 struct RosterPart
 {
@@ -115,6 +130,7 @@
     std::string afterName; ///< the range begins after this name
     bool isLast = false;   ///< the range is unbounded; otherwise it ends with the last member
     std::vector<Member> members;
+    RosterScope scope = RosterScope::Complete;
 };
 
 /// Maximum number of members in one RosterPart, so that it fits into a common MTU.
--- a/tests/auto/property.h
+++ b/tests/auto/property.h
@@ -15,15 +15,15 @@
 constexpr std::uint64_t MinSteps = 20'000;
 
 /// Checks \a property on generated input. Fails the test if the property does not hold, or if it
-/// counted fewer than MinSteps steps in generatedSteps.
+/// counted fewer than \a minSteps steps in generatedSteps.
 template<typename F>
-void checkProperty(const char *description, F property)
+void checkProperty(const char *description, F property, std::uint64_t minSteps = MinSteps)
 {
     generatedSteps = 0;
     const bool holds = rc::check(description, property);
     std::printf("%s: %llu steps\n", description, static_cast<unsigned long long>(generatedSteps));
     CHECK_TRUE_TEXT(holds, description);
-    CHECK_TRUE_TEXT(generatedSteps >= MinSteps, "fewer than the minimum of generated steps");
+    CHECK_TRUE_TEXT(generatedSteps >= minSteps, "fewer than the minimum of generated steps");
 }
 
 /// The model for properties that the system under test checks itself.
--- a/tests/auto/routing/tst_servicetable.cpp
+++ b/tests/auto/routing/tst_servicetable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace Routing;
 
@@ -137,3 +138,62 @@
         CHECK_TRUE(live >= 2);
     }
 }
+
+/// The instances that a search visits have different tables while some join and leave. Those that
+/// are in all tables must be visited all the same.
+TEST(ServiceTable, SearchAcrossDifferentTablesSkipsNoCommonInstance)
+{
+    checkProperty("a search across tables that differ visits each common instance", [] {
+        const auto common = *rc::gen::inRange<std::size_t>(1, 20);
+        const auto hash = *rc::gen::arbitrary<std::uint64_t>();
+        std::set<Model::InstanceId> missing;
+        for (std::size_t number = 0; number < common; ++number)
+            missing.insert(Model::instanceId(instanceNamed(number).name));
+        Chain tried;
+        SearchPosition position;
+        for (int visit = 0; visit < 100; ++visit) {
+            ++generatedSteps;
+            std::vector<Model::Instance> instances;
+            for (std::size_t number = 0; number < common; ++number)
+                instances.push_back(instanceNamed(number));
+            for (std::size_t number = common; number < common + 6; ++number) {
+                if (*rc::gen::arbitrary<bool>())
+                    instances.push_back(instanceNamed(number));
+            }
+            const ServiceTable table(orderDesk(), std::move(instances));
+            const auto [chain, next] = table.chainAfter(hash, tried, position, true);
+            if (chain.isEmpty())
+                break;
+            for (const Model::InstanceId visited : idsOf(chain))
+                missing.erase(visited);
+            tried = chain;
+            position = next;
+        }
+        RC_ASSERT(missing.empty());
+    });
+}
+
+TEST(ServiceTable, SearchVisitsSuspectInstancesLast)
+{
+    std::vector<Model::Instance> instances;
+    for (std::size_t number = 0; number < 10; ++number) {
+        instances.push_back(instanceNamed(number));
+        if (number < 3)
+            instances.back().state = Model::InstanceState::Suspect;
+    }
+    const ServiceTable table(orderDesk(), instances);
+    std::vector<Model::InstanceId> visited;
+    Chain tried;
+    SearchPosition position;
+    for (bool isDone = false; !isDone;) {
+        const auto [chain, next] = table.chainAfter(7, tried, position, true);
+        for (const Model::InstanceId id : idsOf(chain))
+            visited.push_back(id);
+        isDone = chain.isEmpty();
+        tried = chain;
+        position = next;
+    }
+    LONGS_EQUAL(10, visited.size());
+    for (std::size_t index = 0; index < visited.size(); ++index)
+        CHECK_TRUE(table.isRunning(visited[index]) == (index < 7));
+}
