A process denies only what it would have known

A roster now says what it includes (RosterScope): what reported since the balancer's start, what the directory names besides, or everybody, 8 s after a start. A member in the directory is suspect until it reports, is removed by a complete roster that lacks it, or was silent for 8 s. Only complete rosters make an agent remove a member; others make it suspect. An agent denies nothing before it has a roster that includes the directory. Now balancers say with a packet, and agents know from their roster, that an agent of the service restarts; then only flows are tried that the agent claimed before its own restart (its peers still redirect them), and no flow twice. The log line of a reset tells what its sender knew: uptime, age and size of its roster, its scope, its server's heartbeat.

--- a/src/libs/flows/flowdirector.cpp
+++ b/src/libs/flows/flowdirector.cpp
@@ -105,6 +105,11 @@
     if (forwarded.chain.isEmpty())
         return drop(DropCause::NoOwner);
     forwarded.position = 0;
+    forwarded.isToClaimant =
+        std::any_of(redirect.claimants.begin(), redirect.claimants.end(),
+                    [&forwarded](const Routing::Hop &claimant) {
+                        return claimant.instance == forwarded.chain[0].instance;
+                    });
     ++forwarded.redirects;
     ++forwarded.passes;
     return {ForwardToHop{forwarded}, std::nullopt, false};
@@ -148,17 +153,29 @@
         known->second.lastUse = now;
         return forwardToOwner(header, known->second);
     }
-    if (mayHoldUnknownFlows_)
+    if (mayTry(header, packet.flow))
         return {Deliver{}, std::nullopt, false};
     return forwardToNext(header, DropCause::NoOwner);
 }
 
+/// Whether to deliver a packet of \a flow, which is unknown here, in case the backend server holds
+/// it. While another agent restarts, its flows are unknown to all, and their packets must not reach
+/// the servers of agents that restarted earlier: then only flows that this agent claimed before its
+/// own restart are tried, which others still redirect to it.
+bool FlowDirector::mayTry(const Tunnel::PacketHeader &header, const Model::FlowKey &flow) const
+{
+    return mayHoldUnknownFlows_ && !returned_.contains(flow)
+           && (!header.isRestartAnnounced || header.isToClaimant);
+}
+
 Decision FlowDirector::onReturnedByBackend(TimePoint now, const Tunnel::PacketHeader &header,
                                            const Tunnel::TcpPacket &packet)
 {
     onFlowRemoved(packet.flow);
     if (packet.opensFlow())
         return forwardToNext(header, DropCause::NoRoom);
+    if (returned_.size() < MaxReturnedFlows)
+        returned_[packet.flow] = now;
     const auto known = redirects_.find(packet.flow);
     if (known != redirects_.end() && header.redirects < MaxRedirects) {
         known->second.lastUse = now;
@@ -174,6 +191,7 @@
         entry->second.lastUse = now;
         return false;
     }
+    returned_.erase(flow);
     adopt(now, flow, Tunnel::Epoch(1));
     return true;
 }
@@ -197,7 +215,7 @@
     if (header.passes >= MaxSearchPasses)
         return std::nullopt;
     const auto [chain, next] = table.chainAfter(Model::flowHash(flow), header.chain,
-                                                header.ranksBefore, !header.originContinues);
+                                                header.searched, !header.originContinues);
     if (chain.isEmpty())
         return std::nullopt;
     Tunnel::PacketHeader forwarded = header;
@@ -263,6 +281,7 @@
     if (!accepts)
         return forwardToNext(header, DropCause::NoRoom);
 
+    returned_.erase(packet.flow);
     bool replacesEarlierFlow = false;
     if (const auto earlier = flows_.find(packet.flow); earlier != flows_.end()) {
         forget(earlier);
@@ -404,9 +423,22 @@
     std::erase_if(redirects_, [now](const auto &entry) {
         return now - entry.second.lastUse >= RedirectLifetime;
     });
+    std::erase_if(returned_,
+                  [now](const auto &entry) { return now - entry.second >= ReturnedFlowLifetime; });
     return halfOpen;
 }
 
+std::optional<Routing::Hop> FlowDirector::firstOther(const Routing::ServiceTable &table,
+                                                     const Model::FlowKey &flow) const
+{
+    for (const Routing::Hop &hop :
+         table.chainFor(Model::flowHash(flow), Routing::PacketKind::ContinuesFlow)) {
+        if (hop.instance != self_.instance)
+            return hop;
+    }
+    return std::nullopt;
+}
+
 std::vector<std::pair<Routing::Hop, std::vector<Tunnel::ClaimedFlow>>>
 FlowDirector::ownershipNotices(const Routing::ServiceTable &table) const
 {
@@ -417,11 +449,11 @@
                                || (flow.phase == Phase::HalfOpen && flow.initialSequence);
         if (!isClaimed)
             continue;
-        const auto chain = table.chainFor(Model::flowHash(key), Routing::PacketKind::ContinuesFlow);
-        if (chain.isEmpty() || chain[0].instance == self_.instance)
+        const auto first = firstOther(table, key);
+        if (!first)
             continue;
-        auto &[receiver, flows] = byReceiver[chain[0].instance];
-        receiver = chain[0];
+        auto &[receiver, flows] = byReceiver[first->instance];
+        receiver = *first;
         flows.push_back({key, flow.epoch});
     }
     std::vector<std::pair<Routing::Hop, std::vector<Tunnel::ClaimedFlow>>> notices;
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -26,6 +26,13 @@
 /// Time after which an unused redirect expires.
 constexpr std::chrono::minutes RedirectLifetime{5};
 
+/// How long a flow is remembered that the backend server returned: longer than the routers and
+/// callers use one without opening it anew.
+constexpr std::chrono::minutes ReturnedFlowLifetime{1};
+
+/// Maximum number of such flows; further ones are tried on the server again.
+constexpr std::size_t MaxReturnedFlows = 4096;
+
 /// Minimum time between two ownership notices for one flow to its first-ranked agent.
 constexpr std::chrono::seconds NoticeInterval{1};
 
@@ -165,8 +172,13 @@
     /// without a reset.
     std::vector<Model::FlowKey> expire(TimePoint now);
 
-    /// Returns for each first-ranked agent in \a table, other than this one, the flows to claim in
-    /// a notice to it: established flows, and half-open ones whose SYN was answered.
+    /// Returns the best-ranked agent of \a flow in \a table other than this one, which keeps a
+    /// redirect to the owner also for this agent's own next start; nothing if there is no other.
+    std::optional<Routing::Hop> firstOther(const Routing::ServiceTable &table,
+                                           const Model::FlowKey &flow) const;
+
+    /// Returns for each agent that firstOther() selects the flows to claim in a notice to it:
+    /// established flows, and half-open ones whose SYN was answered.
     std::vector<std::pair<Routing::Hop, std::vector<Tunnel::ClaimedFlow>>>
     ownershipNotices(const Routing::ServiceTable &table) const;
 
@@ -212,6 +224,7 @@
     void addClaim(TimePoint now, const Tunnel::ClaimedFlow &flow, const Routing::Hop &owner);
     Decision forwardToOwner(const Tunnel::PacketHeader &header, const Redirect &redirect) const;
     bool isAlive(const Routing::Hop &hop) const;
+    bool mayTry(const Tunnel::PacketHeader &header, const Model::FlowKey &flow) const;
     std::optional<Decision> onOwnedFlow(TimePoint now, const Tunnel::PacketHeader &header,
                                         const Tunnel::TcpPacket &packet);
     Decision onNewFlow(TimePoint now, const Tunnel::PacketHeader &header,
@@ -225,6 +238,7 @@
     Model::ServiceId service_;
     Flows flows_;
     std::unordered_map<Model::FlowKey, Redirect> redirects_;
+    std::unordered_map<Model::FlowKey, TimePoint> returned_; ///< flows that the server doesn't hold
     std::unordered_map<Model::InstanceId, Model::Incarnation> alive_;
     std::set<Model::InstanceId> listed_;  ///< instances in the table, suspect ones included
     std::set<Model::InstanceId> removed_; ///< instances that were removed from the table
--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -112,12 +112,14 @@
                                        const Tunnel::TcpPacket &packet)
 {
     newestGeneration_ = std::max(newestGeneration_, header.generation);
+    Tunnel::PacketHeader known = header;
+    known.isRestartAnnounced |= hasRestartingPeer_;
     const bool wasOwned = director_.owns(packet.flow);
     const Flows::Decision decision =
-        director_.onPacket(now, service, header, packet, availability(now));
+        director_.onPacket(now, service, known, packet, availability(now));
     if (!wasOwned && director_.owns(packet.flow))
         notifyFirstRankedAgent(packet.flow);
-    return applyDecision(now, decision, header, packet);
+    return applyDecision(now, decision, known, packet);
 }
 
 AgentVerdict AgentCore::applyDecision(TimePoint now, const Flows::Decision &decision,
@@ -399,9 +401,8 @@
 
 void AgentCore::notifyFirstRankedAgent(const Model::FlowKey &flow)
 {
-    const auto chain = table_->chainFor(Model::flowHash(flow), Routing::PacketKind::ContinuesFlow);
-    if (!chain.isEmpty() && chain[0].instance != selfHop_.instance)
-        pendingNotices_[chain[0].tunnel].push_back({flow, Tunnel::Epoch(1)});
+    if (const auto first = director_.firstOther(*table_, flow))
+        pendingNotices_[first->tunnel].push_back({flow, Tunnel::Epoch(1)});
 }
 
 void AgentCore::onDatagram(TimePoint now, const Tunnel::Datagram &datagram)
@@ -452,6 +453,11 @@
         table_ = std::make_unique<Routing::ServiceTable>(*table_, std::move(instances));
     else
         table_ = std::make_unique<Routing::ServiceTable>(service, std::move(instances));
+    const auto restarting = roster_.restartingAgents();
+    hasRestartingPeer_ =
+        std::any_of(restarting.begin(), restarting.end(), [&service](const Model::Instance &agent) {
+            return agent.service == service.name;
+        });
     director_.onTableChanged(*table_);
     for (auto &[receiver, flows] : director_.ownershipNotices(*table_)) {
         auto &notices = pendingNotices_[receiver.tunnel];
--- a/src/libs/forwarding/agentcore.h
+++ b/src/libs/forwarding/agentcore.h
@@ -199,6 +199,7 @@
     AgentVerdict forwardSearch(TimePoint now, const Tunnel::PacketHeader &header,
                                const Tunnel::TcpPacket &packet);
     bool isViewComplete(TimePoint now) const;
+    DenialBasis denialBasis(TimePoint now) const;
     void answerQuery(TimePoint now, const Tunnel::OwnerQuery &query);
     bool knowsAllFlows(TimePoint now) const;
     bool isFirstAcknowledged(const BackendHeartbeat &heartbeat) const;
@@ -227,6 +228,7 @@
     HeldSynQueue heldSynQueue_;
     std::unordered_map<Model::FlowKey, FlowState> flowStates_;
     std::unique_ptr<Routing::ServiceTable> table_;
+    bool hasRestartingPeer_ = false; ///< an agent of the service restarts or doesn't report
     std::optional<BackendHeartbeat> backend_;
     bool isBackendLeaving_ = false;
     TimePoint started_;
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -35,7 +35,7 @@
 
 BalancerCore::BalancerCore(TimePoint now, const Options &options)
     : self_(options.self)
-    , roster_(options.self)
+    , roster_(options.self, options.isFirstStart ? now : now + Membership::RemovalTimeout)
     , agentSelector_(options.self.instance.failureDomain)
     , lostFlowSearch_(now)
     , reportScheduler_(options.self.instance.failureDomain)
@@ -121,6 +121,12 @@
     for (Model::Instance &agent : agents)
         agent.incarnation = {};
     agentSelector_.retainOnly(agents);
+    restartingServices_.clear();
+    for (const Model::Instance &agent : roster_.restartingAgents())
+        restartingServices_.insert(Model::serviceId(agent.service));
+    unheardServices_.clear();
+    for (const Model::Instance &agent : roster_.unheardAgents())
+        unheardServices_.insert(Model::serviceId(agent.service));
     table_ = Routing::RoutingTable::build(configuration_, agents, *table_, ++tableVersion_,
                                           routeHistory_.former());
 }
@@ -138,6 +144,7 @@
 {
     std::vector<Model::Endpoint> tunnels;
     std::vector<Membership::DirectoryEntry> others;
+    std::vector<Tunnel::Member> agents;
     lastKnownServices_.emplace();
     for (const Membership::DirectoryEntry &member : members) {
         if (member.name == self_.instance.name)
@@ -145,16 +152,30 @@
         lastKnownServices_->emplace(member.name, Model::serviceId(member.service));
         tunnels.push_back(member.tunnel);
         others.push_back(member);
+        if (member.service.empty())
+            continue;
+        Tunnel::Member agent;
+        agent.instance.name = member.name;
+        agent.instance.service = member.service;
+        agent.instance.tunnel = member.tunnel;
+        agent.instance.incarnation = member.incarnation;
+        agents.push_back(std::move(agent));
     }
     reportScheduler_.setLastKnownMembers(std::move(tunnels));
     lostFlowSearch_.setDirectory(now, others, isComplete);
+    if (roster_.scope(now) == Tunnel::RosterScope::Complete)
+        return;
+    if (isComplete)
+        roster_.setRecordedIncluded();
+    if (roster_.addRecorded(now, agents))
+        onRosterChanged(now);
 }
 
 std::vector<ResetFlow> BalancerCore::takeLostFlows(TimePoint now)
 {
     std::vector<ResetFlow> resets;
     for (const auto &[lost, services] : lostFlowSearch_.takeLost(now)) {
-        ResetFlow reset{lost.flow, lost.acknowledgement, {}};
+        ResetFlow reset{lost.flow, lost.acknowledgement, {}, denialBasis(now)};
         for (const Model::ServiceId service : services) {
             const auto *const table = table_->findById(service);
             reset.servicesAsked.push_back(table ? table->service().name : "unknown");
@@ -177,7 +198,17 @@
 {
     if (header.chain.isEmpty())
         return BalancerDrop::NoAgent;
-    return ForwardPacket{{service, header.generation, header}, header.chain[0].tunnel};
+    Tunnel::PacketHeader sent = header;
+    sent.isRestartAnnounced = isRestartAnnounced(service);
+    return ForwardPacket{{service, header.generation, sent}, header.chain[0].tunnel};
+}
+
+/// Whether an agent of \a service announced a restart, or may have done so before this balancer
+/// started: it runs no longer, although the system as a whole did not restart.
+bool BalancerCore::isRestartAnnounced(Model::ServiceId service) const
+{
+    return restartingServices_.contains(service)
+           || (unheardServices_.contains(service) && lostFlowSearch_.isSystemRunning());
 }
 
 BalancerVerdict BalancerCore::send(Model::ServiceId service, const Routing::Chain &chain,
@@ -262,7 +293,6 @@
 bool BalancerCore::searchOwner(TimePoint now, const Tunnel::TcpPacket &packet,
                                const Routing::ServiceTable *service)
 {
-    const Model::Endpoint &address = packet.flow.service;
     std::set<Model::ServiceId> services;
     const auto hash = Model::flowHash(packet.flow);
     for (const auto *const table : table_->knownOwners(packet.flow.service, hash, service))
@@ -357,9 +387,19 @@
     ResetFlow reset{packet.flow, packet.acknowledgement, {}};
     for (const auto *const owner : owners)
         reset.servicesAsked.push_back(owner->service().name);
+    reset.basis = denialBasis(now);
     return reset;
 }
 
+DenialBasis BalancerCore::denialBasis(TimePoint now) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return {duration_cast<milliseconds>(now - started_),
+            duration_cast<milliseconds>(now - lastRosterChange_.value_or(started_)),
+            roster_.agents().size(), roster_.scope(now), 0};
+}
+
 /// Sends \a packet to a suspect agent of \a owners: the one that is cached for the flow, or each
 /// time another one.
 BalancerVerdict BalancerCore::askSuspect(TimePoint now, const Tunnel::TcpPacket &packet,
--- a/src/libs/forwarding/balancercore.h
+++ b/src/libs/forwarding/balancercore.h
@@ -47,12 +47,23 @@
     Model::Endpoint receiver;
 };
 
+/// What the process that decided a reset knew then, for the log.
+struct DenialBasis
+{
+    std::chrono::milliseconds uptime{0};    ///< time since the start of that process
+    std::chrono::milliseconds rosterAge{0}; ///< time since its roster changed last
+    std::size_t agents = 0;                 ///< in its roster
+    Tunnel::RosterScope scope = Tunnel::RosterScope::Reported;
+    std::uint64_t heartbeat = 0; ///< number of its server's latest heartbeat; 0 for a balancer
+};
+
 /// Send the caller a reset, since its flow is not open.
 struct ResetFlow
 {
     Model::FlowKey flow;
     std::uint32_t acknowledgement = 0; ///< the caller's latest; a reset must be close to it
-    std::vector<std::string> servicesAsked = {}; ///< whose agents all deny the flow
+    std::vector<std::string> servicesAsked = {};     ///< whose agents all deny the flow
+    std::optional<DenialBasis> basis = std::nullopt; ///< if the flow's owner was not found
 };
 
 using BalancerVerdict = std::variant<ForwardPacket, ResetFlow, BalancerDrop>;
@@ -161,6 +172,8 @@
                          bool isSearched = false);
     BalancerVerdict send(Model::ServiceId service, const Tunnel::PacketHeader &header) const;
     Tunnel::PacketHeader newHeader() const;
+    bool isRestartAnnounced(Model::ServiceId service) const;
+    DenialBasis denialBasis(TimePoint now) const;
     const Routing::ServiceTable *tableFor(const FlowCache::Entry *cached,
                                           const Tunnel::TcpPacket &packet) const;
     BalancerVerdict askServices(TimePoint now, const Tunnel::TcpPacket &packet,
@@ -197,6 +210,8 @@
     std::shared_ptr<const Routing::RoutingTable> table_;
     std::optional<std::map<std::string, Model::ServiceId>>
         lastKnownServices_; ///< of the members before the start by name, if known
+    std::set<Model::ServiceId> restartingServices_; ///< with an agent that announced a restart
+    std::set<Model::ServiceId> unheardServices_;    ///< with an agent only known from the directory
     std::optional<TimePoint> lastRosterChange_;
     std::size_t suspectsAsked_ = 0;
     std::uint64_t tableVersion_ = 0;
--- a/src/libs/forwarding/decisionlog.cpp
+++ b/src/libs/forwarding/decisionlog.cpp
@@ -186,12 +186,28 @@
 {
     const auto shown = std::span(reset.servicesAsked)
                            .first(std::min(reset.servicesAsked.size(), MaxNamedServices));
+    const std::string services = fmt::format("{}", fmt::join(shown, ","));
+    if (!reset.basis) {
+        logDecisionLine(Level::Warning, "flow-reset",
+                        {{"flow", Model::flowText(reset.flow)},
+                         {"cause", cause},
+                         {"services", services},
+                         {"servicesAsked", reset.servicesAsked.size()},
+                         {"generation", std::uint64_t(generation)}});
+        return;
+    }
+    const DenialBasis &basis = *reset.basis;
     logDecisionLine(Level::Warning, "flow-reset",
                     {{"flow", Model::flowText(reset.flow)},
                      {"cause", cause},
-                     {"services", fmt::format("{}", fmt::join(shown, ","))},
+                     {"services", services},
                      {"servicesAsked", reset.servicesAsked.size()},
-                     {"generation", std::uint64_t(generation)}});
+                     {"generation", std::uint64_t(generation)},
+                     {"uptimeMs", basis.uptime.count()},
+                     {"rosterAgeMs", basis.rosterAge.count()},
+                     {"agents", basis.agents},
+                     {"scope", Tunnel::rosterScopeText(basis.scope)},
+                     {"heartbeat", basis.heartbeat}});
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/lostflowsearch.h
+++ b/src/libs/forwarding/lostflowsearch.h
@@ -85,6 +85,9 @@
     /// member, and no backend server. The directory must have been read, and must be complete.
     bool isWholeLoss() const;
 
+    /// Whether a member that the directory lists reported and did not restart.
+    bool isSystemRunning() const { return isSystemRunning_; }
+
     /// Returns the services with agents that are known so far.
     std::set<Model::ServiceId> services() const;
 
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -27,10 +27,40 @@
            || member.instance.service == reader.instance.service;
 }
 
-Roster::Roster(Tunnel::Member self)
+Roster::Roster(Tunnel::Member self, TimePoint completeFrom)
     : self_(std::move(self))
+    , completeFrom_(completeFrom)
 {}
 
+Tunnel::RosterScope Roster::scope(TimePoint now) const
+{
+    if (!isBalancer())
+        return adoptedScope_;
+    if (now >= completeFrom_)
+        return Tunnel::RosterScope::Complete;
+    return includesRecorded_ ? Tunnel::RosterScope::Recorded : Tunnel::RosterScope::Reported;
+}
+
+bool Roster::addRecorded(TimePoint now, const std::vector<Tunnel::Member> &agents)
+{
+    bool changed = false;
+    for (const Tunnel::Member &agent : agents) {
+        const std::string &name = agent.instance.name;
+        if (name == self_.instance.name || tombstones_.contains(name))
+            continue;
+        const auto [entry, isNew] = entries_.try_emplace(name);
+        if (!isNew)
+            continue;
+        entry->second.member = agent;
+        entry->second.member.instance.state = Model::InstanceState::Suspect;
+        entry->second.lastReportTime = now;
+        entry->second.isSuspect = true;
+        entry->second.member.isUnheard = true;
+        changed = true;
+    }
+    return changed;
+}
+
 bool Roster::remove(TimePoint now, const std::string &name, Model::Incarnation incarnation)
 {
     tombstones_[name] = {incarnation, now};
@@ -49,7 +79,7 @@
     const auto known = entries_.find(name);
     if (known == entries_.end()) {
         tombstones_.erase(name);
-        entries_[name] = {member, now, false, report.number, {}};
+        entries_[name] = {member, now, false, report.number, {}, {}};
         return true;
     }
     Entry &entry = known->second;
@@ -61,15 +91,18 @@
     if (isLate || isReordered)
         return false;
     const bool changed = entry.isSuspect || entry.member.instance != member.instance;
-    entry = {member, now, false, report.number, {}};
+    entry = {member, now, false, report.number, {}, {}};
     return changed;
 }
 
 bool Roster::addRelayed(TimePoint now, const Tunnel::Member &member)
 {
     const std::string &name = member.instance.name;
+    // An agent adds a member again that was only cut off from the balancers, but not one that a
+    // balancer knows from the directory.
+    const bool wasHeard = !isBalancer() && member.instance.state != Model::InstanceState::Suspect;
     if (const auto tombstone = tombstones_.find(name);
-        tombstone != tombstones_.end()
+        tombstone != tombstones_.end() && !wasHeard
         && member.instance.incarnation <= tombstone->second.incarnation)
         return false;
     const auto [known, isNew] = entries_.try_emplace(name);
@@ -77,21 +110,23 @@
     const TimePoint lastReportTime = now - member.sinceLastReport;
     if (isNew) {
         // A balancer places no work on a member from which it never received a report itself.
-        entry = {member, lastReportTime, isBalancer(), 0, {}};
+        entry = {member, lastReportTime, isBalancer(), 0, {}, {}};
         return true;
     }
     entry.omittedBy.clear();
+    entry.missedBy.clear();
     if (!isBalancer()) {
-        const bool changed = entry.member.instance != member.instance;
+        const bool changed =
+            entry.member.instance != member.instance || entry.member.isUnheard != member.isUnheard;
         entry.member = member;
         return changed;
     }
     if (member.instance.incarnation < entry.member.instance.incarnation)
         return false;
     entry.lastReportTime = std::max(entry.lastReportTime, lastReportTime);
-    if (member.instance.incarnation == entry.member.instance.incarnation)
+    if (member.instance.incarnation == entry.member.instance.incarnation && !entry.member.isUnheard)
         return false;
-    entry = {member, lastReportTime, true, 0, {}};
+    entry = {member, lastReportTime, true, 0, {}, {}};
     return true;
 }
 
@@ -105,24 +140,64 @@
         listed.insert(member.instance.name);
         changed |= addRelayed(now, member);
     }
-    return isBalancer() ? changed : removeOmitted(part, listed) || changed;
+    changed |= applyOmissions(now, part, listed);
+    // Only a whole roster shows that nobody is missing, and its last part is sent last.
+    if (!isBalancer() && part.isLast)
+        adoptedScope_ = std::max(adoptedScope_, part.scope);
+    return changed;
 }
 
-bool Roster::removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed)
+/// Whether the member of \a entry, which \a part omits, is removed. \a needed is the number of
+/// balancers that have to omit it.
+bool Roster::isGone(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const
 {
+    const bool isComplete = part.scope == Tunnel::RosterScope::Complete;
+    if (isBalancer())
+        return entry.member.isUnheard && isComplete;
+    (isComplete ? entry.omittedBy : entry.missedBy).insert(part.balancer);
+    return entry.omittedBy.size() >= needed;
+}
+
+/// Applies that \a part, whose members are \a listed, lacks members of this roster: a complete
+/// roster shows that they are gone, another one only that they may not be reachable.
+bool Roster::applyOmissions(TimePoint now, const Tunnel::RosterPart &part,
+                            const std::set<std::string> &listed)
+{
+    if (isBalancer() && !hasUnheard())
+        return false;
     const std::string lastName = part.members.empty() ? "" : part.members.back().instance.name;
-    const auto needed = std::min(MinOmissionsForRemoval, balancers().size());
-    bool removed = false;
+    const auto needed = std::clamp<std::size_t>(balancers().size(), 1, MinOmissionsForRemoval);
+    bool changed = false;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         auto &[name, known] = *entry;
         const bool isInRange = name > part.afterName && (part.isLast || name <= lastName);
-        if (isInRange && !listed.contains(name))
-            known.omittedBy.insert(part.balancer);
-        const bool isGone = !known.omittedBy.empty() && known.omittedBy.size() >= needed;
-        removed |= isGone;
-        entry = isGone ? entries_.erase(entry) : std::next(entry);
+        if (!isInRange || listed.contains(name)) {
+            ++entry;
+            continue;
+        }
+        if (isGone(known, part, needed)) {
+            tombstones_[name] = {known.member.instance.incarnation, now};
+            entry = entries_.erase(entry);
+            changed = true;
+            continue;
+        }
+        const bool becomesSuspect = known.member.role == Tunnel::Role::Agent
+                                    && known.missedBy.size() >= needed
+                                    && known.member.instance.state != Model::InstanceState::Suspect;
+        if (becomesSuspect)
+            known.member.instance.state = Model::InstanceState::Suspect;
+        changed |= becomesSuspect;
+        ++entry;
     }
-    return removed;
+    expireTombstones(now);
+    return changed;
+}
+
+void Roster::expireTombstones(TimePoint now)
+{
+    std::erase_if(tombstones_, [now](const auto &entry) {
+        return now - entry.second.since >= TombstoneLifetime;
+    });
 }
 
 /// Returns the time without a report after which a balancer removes \a member.
@@ -149,9 +224,7 @@
                                         >= removalTimeoutOf(entry.second.member);
                              })
                > 0;
-    std::erase_if(tombstones_, [now](const auto &entry) {
-        return now - entry.second.since >= TombstoneLifetime;
-    });
+    expireTombstones(now);
     return changed;
 }
 
@@ -218,6 +291,8 @@
     for (const auto &[name, entry] : entries_) {
         if (name == reader.instance.name || !shouldKnow(reader, entry.member))
             continue;
+        if (entry.member.isUnheard && readerIsBalancer)
+            continue;
         view.push_back(entry.member);
         if (entry.isSuspect && !readerIsBalancer)
             view.back().instance.state = Model::InstanceState::Suspect;
@@ -238,10 +313,53 @@
     return digest;
 }
 
+std::uint64_t Roster::digest() const
+{
+    const bool isUncertain =
+        isBalancer() ? hasUnheard() : adoptedScope_ == Tunnel::RosterScope::Reported;
+    return isUncertain ? 0 : digestFor(self_);
+}
+
+bool Roster::hasUnheard() const
+{
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [](const auto &entry) { return entry.second.member.isUnheard; });
+}
+
+bool Roster::hasRunningAgents() const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [](const auto &entry) {
+        return entry.second.member.role == Tunnel::Role::Agent && !entry.second.isSuspect;
+    });
+}
+
+std::vector<Model::Instance> Roster::restartingAgents() const
+{
+    std::vector<Model::Instance> restarting;
+    for (const auto &[name, entry] : entries_) {
+        const Tunnel::Member &member = entry.member;
+        if (member.role == Tunnel::Role::Agent && !entry.member.isUnheard
+            && member.instance.state == Model::InstanceState::Suspect)
+            restarting.push_back(member.instance);
+    }
+    return restarting;
+}
+
+std::vector<Model::Instance> Roster::unheardAgents() const
+{
+    std::vector<Model::Instance> unheard;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.member.isUnheard)
+            unheard.push_back(entry.member.instance);
+    }
+    return unheard;
+}
+
 std::vector<Tunnel::RosterPart> Roster::partsFor(TimePoint now, const Tunnel::Member &reader) const
 {
     std::vector<Tunnel::RosterPart> parts(1);
     parts.back().balancer = self_.instance.name;
+    parts.back().scope = scope(now);
     for (Tunnel::Member &member : viewFor(reader)) {
         if (const auto entry = entries_.find(member.instance.name); entry != entries_.end())
             member.sinceLastReport = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -249,6 +367,7 @@
         if (parts.back().members.size() == Tunnel::MaxMembersPerPart) {
             Tunnel::RosterPart next;
             next.balancer = self_.instance.name;
+            next.scope = scope(now);
             next.afterName = parts.back().members.back().instance.name;
             parts.push_back(std::move(next));
         }
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -28,8 +28,9 @@
 /// It is longer than a restart takes.
 constexpr std::chrono::seconds RemovalTimeout{8};
 
-/// Number of balancers whose views must omit a member before an agent removes it: a single balancer
-/// may have lost its connection to that member.
+/// Number of balancers whose complete views must omit a member before an agent removes it: a single
+/// balancer may have lost its connection to that member. If the views of as many balancers lack it
+/// that started too recently, it becomes suspect.
 constexpr std::size_t MinOmissionsForRemoval = 2;
 
 /// Time for which a member that left is not added again because of another balancer's roster. It is
@@ -46,8 +47,9 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /// Creates the roster of the process \a self, which is not an entry of it.
-    explicit Roster(Tunnel::Member self);
+    /// Creates the roster of the process \a self, which is not an entry of it. From \a completeFrom
+    /// on, a balancer's roster includes every member: whoever runs has reported to it by then.
+    explicit Roster(Tunnel::Member self, TimePoint completeFrom = TimePoint::min());
 
     /// Applies a member's report about itself. Late and reordered reports are ignored. Returns
     /// whether the membership view changed.
@@ -56,6 +58,18 @@
     /// Applies a part of a balancer's roster. Returns whether the membership view changed.
     bool onRosterPart(TimePoint now, const Tunnel::RosterPart &part);
 
+    /// Adds \a agents, which ran before this balancer started, as suspect until they report or
+    /// RemovalTimeout has passed. Other balancers' complete rosters remove those that are gone.
+    /// Returns whether the membership view changed.
+    bool addRecorded(TimePoint now, const std::vector<Tunnel::Member> &agents);
+
+    /// Sets that this balancer's roster includes the members in the directory.
+    void setRecordedIncluded() { includesRecorded_ = true; }
+
+    /// Returns which members this process's roster includes for certain. An agent's roster includes
+    /// what those of the balancers do from which it adopted members.
+    Tunnel::RosterScope scope(TimePoint now) const;
+
     /// Marks members without reports as suspect, and removes them after a longer time. Does nothing
     /// on an agent. Returns whether the membership view changed.
     bool expire(TimePoint now);
@@ -86,8 +100,18 @@
     /// membership view.
     std::uint64_t digestFor(const Tunnel::Member &reader) const;
 
-    /// Returns the digest of this process's own membership view.
-    std::uint64_t digest() const { return digestFor(self_); }
+    /// Returns the digest of this process's own membership view; 0 while it may lack members or
+    /// have too many, so that every balancer that is asked sends its roster.
+    std::uint64_t digest() const;
+
+    /// Whether any agent is known that is not suspect.
+    bool hasRunningAgents() const;
+
+    /// Returns the agents that announced a restart or, on an agent, do not report.
+    std::vector<Model::Instance> restartingAgents() const;
+
+    /// Returns the agents that are only known from the directory.
+    std::vector<Model::Instance> unheardAgents() const;
 
     /// Returns the membership view to send to \a reader, which includes this process, in parts of
     /// at most Tunnel::MaxMembersPerPart members. \a now determines the members'
@@ -102,6 +126,7 @@
         bool isSuspect = false;
         std::uint64_t number = 0;        ///< of the latest report that the member itself sent
         std::set<std::string> omittedBy; ///< on an agent: balancers whose views omit the member
+        std::set<std::string> missedBy;  ///< the same, of balancers that may not know it yet
     };
 
     struct Tombstone
@@ -112,11 +137,18 @@
 
     std::vector<Tunnel::Member> viewFor(const Tunnel::Member &reader) const;
     bool addRelayed(TimePoint now, const Tunnel::Member &member);
-    bool removeOmitted(const Tunnel::RosterPart &part, const std::set<std::string> &listed);
+    bool applyOmissions(TimePoint now, const Tunnel::RosterPart &part,
+                        const std::set<std::string> &listed);
+    void expireTombstones(TimePoint now);
+    bool hasUnheard() const;
+    bool isGone(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const;
     bool isBalancer() const { return self_.role == Tunnel::Role::Balancer; }
     bool remove(TimePoint now, const std::string &name, Model::Incarnation incarnation);
 
     Tunnel::Member self_;
+    TimePoint completeFrom_;
+    bool includesRecorded_ = false; ///< on a balancer: the members in the directory
+    Tunnel::RosterScope adoptedScope_ = Tunnel::RosterScope::Reported; ///< on an agent
     std::map<std::string, Entry> entries_;
     std::map<std::string, Tombstone> tombstones_;
 };
--- a/tests/auto/flows/tst_flownetwork.cpp
+++ b/tests/auto/flows/tst_flownetwork.cpp
@@ -618,6 +618,57 @@
     CHECK_TRUE(std::get<Drop>(decision.verdict).cause == DropCause::TooManyPasses);
 }
 
+/// A search may find the agent with the redirect only after more passes than a chain needs.
+TEST(FlowNetwork, RedirectIsFollowedLateInASearch)
+{
+    FlowDirector director(self, service);
+    director.onRedirects(start, peer, {{syn().flow, Tunnel::Epoch(1)}});
+    Tunnel::TcpPacket data = syn();
+    data.syn = false;
+    data.ack = true;
+    Tunnel::PacketHeader header = headerTo({self});
+    header.passes = MaxPasses;
+    header.searched = {1.0, false};
+    const auto decision = director.onPacket(start, service, header, data, available);
+    const auto &forwarded = std::get<ForwardToHop>(decision.verdict).header;
+    CHECK_TRUE(forwarded.chain[0] == peer);
+    CHECK_TRUE(forwarded.isToClaimant);
+    header.passes = MaxSearchPasses;
+    const auto last = director.onPacket(start, service, header, data, available);
+    CHECK_TRUE(std::get<Drop>(last.verdict).cause == DropCause::TooManyPasses);
+}
+
+/// A restarted agent tries a packet of an unknown flow on its server once, and not while another
+/// agent restarts, unless the agent claimed the flow before its own restart.
+TEST(FlowNetwork, UnknownFlowIsTriedOnTheServerOnceAndNotForARestartingOwner)
+{
+    FlowDirector director(self, service);
+    director.setMayHoldUnknownFlows(true);
+    Tunnel::TcpPacket data = syn();
+    data.syn = false;
+    data.ack = true;
+    Tunnel::PacketHeader header = headerTo({self, peer});
+    header.isRestartAnnounced = true;
+    const auto isDelivered = [&] {
+        const auto decision = director.onPacket(start, service, header, data, available);
+        return std::holds_alternative<Deliver>(decision.verdict);
+    };
+    CHECK_FALSE(isDelivered());
+    header.isToClaimant = true;
+    CHECK_TRUE(isDelivered());
+    header.isRestartAnnounced = false;
+    header.isToClaimant = false;
+    CHECK_TRUE(isDelivered());
+    director.onReturnedByBackend(start, header, data);
+    CHECK_FALSE(isDelivered());
+    director.onPacket(start, service, header, syn(), available);
+    director.onFlowRemoved(data.flow);
+    CHECK_TRUE(isDelivered());
+    director.onReturnedByBackend(start, header, data);
+    director.expire(start + ReturnedFlowLifetime);
+    CHECK_TRUE(isDelivered());
+}
+
 TEST(FlowNetwork, HalfOpenFlowExpires)
 {
     FlowDirector director(self, service);
--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet.h
@@ -31,6 +31,11 @@
 constexpr std::chrono::milliseconds DirectoryInterval{100};
 constexpr std::chrono::seconds MaxFlowAge{60};
 
+/// How long packets of an open flow may reach other backend servers only, and from how many on that
+/// counts.
+constexpr std::chrono::seconds StrayWindow{2};
+constexpr std::size_t MinStrayPackets = 3;
+
 /// Time in which an accepted configuration must be in force on every balancer.
 constexpr std::chrono::seconds MaxConfigurationLag{3};
 constexpr std::chrono::milliseconds LateLag{2500};
@@ -148,6 +153,7 @@
     std::optional<std::uint32_t> acknowledgement; ///< of its packets, after the handshake
     std::optional<std::size_t> owner; ///< index of the agent whose backend server answered
     bool wasReset = false;
+    std::vector<TimePoint> strays; ///< packets at other servers since the last one at its own
 };
 
 class Simulation
@@ -348,6 +354,15 @@
         sendHeartbeat(index);
     }
 
+    /// Ends the agent \a index and its backend server for good.
+    void leave(std::size_t index)
+    {
+        const Backend &backend = agents_[index].backend;
+        agents_[index].core->onBackendLeaving(now_, {backend.id, backend.startTimeMs});
+        agents_[index].backend.isAlive = false;
+        stopAgent(index, true);
+    }
+
     /// Ends the backend server with its flows and starts another one at its address, with the same
     /// id if \a keepsId.
     void replaceBackend(std::size_t index, bool keepsId)
@@ -471,6 +486,8 @@
     std::uint64_t outdatedFlows = 0;   ///< opened by a service that only an old one allowed
     std::uint64_t missedRouteEnds = 0; ///< packets to a dropped route that were not reset at once
     std::uint64_t deliveries = 0;      ///< packets that reached any backend server
+    std::uint64_t strayFlows = 0;      ///< times that a flow's packets reached other servers only
+    bool isStoreDown = false;          ///< the directory and the record can't be read or written
     std::uint64_t agentVisits = 0;     ///< packets that reached any agent
     double lossRate = 0;
 
@@ -578,7 +595,7 @@
     void scheduleDirectoryUpdate()
     {
         for (BalancerNode &node : balancers_) {
-            if (!node.core)
+            if (!node.core || isStoreDown)
                 continue;
             updateDirectory(node);
             node.recorder->update(*node.core);
@@ -593,6 +610,8 @@
     void updateDirectory(BalancerNode &node)
     {
         using Membership::DirectoryStep;
+        if (isStoreDown)
+            return;
         const std::string encoded =
             Membership::encodeDirectory(node.core->roster().members(), timeline_);
         const auto step = node.directoryPolicy.next(now_, node.core->roster().isFirstBalancer(),
@@ -759,6 +778,7 @@
         const bool isHeldHere = backend.flows.contains(packet.flow)
                                 || (answer != backend.synAckSequences.end()
                                     && packet.acknowledgement == answer->second + 1);
+        recordArrival(packet.flow, isHeldHere);
         if (!isHeldHere) {
             schedule(HopDelay, [this, index, packet, mark] {
                 AgentNode &node = agents_[index];
@@ -786,6 +806,35 @@
         fromBackend(index, data);
     }
 
+    /// Records that a packet of \a flow reached its own backend server or another one.
+    void recordArrival(const Model::FlowKey &flow, bool isOwnServer)
+    {
+        for (std::size_t number = 0; number < callers_.size(); ++number) {
+            Caller &caller = callers_[number];
+            if (caller.flow != flow)
+                continue;
+            checkStrays(caller);
+            if (isOwnServer)
+                caller.strays.clear();
+            else if (mustSurvive(number))
+                caller.strays.push_back(now_);
+        }
+    }
+
+    /// Counts \a caller's flow if its packets reached other servers only for StrayWindow.
+    void checkStrays(Caller &caller)
+    {
+        if (caller.strays.empty() || now_ - caller.strays.front() < StrayWindow)
+            return;
+        const TimePoint first = caller.strays.front();
+        const auto count =
+            std::count_if(caller.strays.begin(), caller.strays.end(),
+                          [first](TimePoint at) { return at - first <= StrayWindow; });
+        strayFlows += std::size_t(count) >= MinStrayPackets;
+        caller.strays.erase(caller.strays.begin());
+        checkStrays(caller);
+    }
+
     void fromBackend(std::size_t index, const Tunnel::TcpPacket &packet)
     {
         schedule(HopDelay, [this, index, packet] {
--- a/tests/auto/membership/tst_roster.cpp
+++ b/tests/auto/membership/tst_roster.cpp
@@ -157,6 +157,97 @@
     LONGS_EQUAL(0, roster.agents().size());
 }
 
+/// Balancers that just started haven't heard of every member. An agent that two of them lack may
+/// run all the same: it gets no new flows and comes last, but owns its flows.
+TEST(Roster, MemberThatOnlyYoungBalancersLackBecomesSuspect)
+{
+    Roster established(balancer("front-1"));
+    Roster young(balancer("front-2"), start + RemovalTimeout);
+    Roster alsoYoung(balancer("front-3"), start + RemovalTimeout);
+    for (Roster *source : {&established, &young, &alsoYoung}) {
+        for (const char *name : {"front-1", "front-2", "front-3"})
+            source->onReport(start, reportOf(balancer(name)));
+    }
+    established.onReport(start, reportOf(agent("side-1")));
+    Roster roster(agent("side-2"));
+    sendView(start, established, agent("side-2"), roster);
+    sendView(start, young, agent("side-2"), roster);
+    CHECK_TRUE(roster.agents().front().state == Model::InstanceState::Ready);
+    sendView(start, alsoYoung, agent("side-2"), roster);
+    LONGS_EQUAL(1, roster.agents().size());
+    CHECK_TRUE(roster.agents().front().state == Model::InstanceState::Suspect);
+    sendView(start, established, agent("side-2"), roster);
+    CHECK_TRUE(roster.agents().front().state == Model::InstanceState::Ready);
+    sendView(start + RemovalTimeout, young, agent("side-2"), roster);
+    sendView(start + RemovalTimeout, alsoYoung, agent("side-2"), roster);
+    LONGS_EQUAL(0, roster.agents().size());
+}
+
+/// Members in the directory that a balancer hasn't heard yet are named to agents as suspect, and
+/// not at all to other balancers, which may know that they are gone.
+TEST(Roster, RecordedMembersAreSuspectUntilTheyReport)
+{
+    Roster young(balancer("front-2"), start + RemovalTimeout);
+    CHECK_TRUE(young.scope(start) == Tunnel::RosterScope::Reported);
+    young.setRecordedIncluded();
+    CHECK_TRUE(young.addRecorded(start, {agent("side-1"), agent("side-2")}));
+    CHECK_TRUE(young.scope(start) == Tunnel::RosterScope::Recorded);
+    CHECK_FALSE(young.hasRunningAgents());
+    LONGS_EQUAL(2, young.unheardAgents().size());
+    LONGS_EQUAL(0, young.restartingAgents().size());
+
+    Roster reader(agent("side-3"));
+    LONGS_EQUAL(0, reader.digest());
+    sendView(start, young, agent("side-3"), reader);
+    LONGS_EQUAL(2, reader.agents().size());
+    CHECK_TRUE(reader.scope(start) == Tunnel::RosterScope::Recorded);
+    CHECK_TRUE(reader.digest() == young.digestFor(agent("side-3")));
+    Roster established(balancer("front-1"));
+    sendView(start, young, balancer("front-1"), established);
+    LONGS_EQUAL(0, established.agents().size());
+
+    CHECK_TRUE(young.onReport(start, reportOf(agent("side-1"))));
+    LONGS_EQUAL(1, young.unheardAgents().size());
+    CHECK_TRUE(young.hasRunningAgents());
+    established.onReport(start, reportOf(agent("side-1")));
+    LONGS_EQUAL(0, young.digest());
+    CHECK_TRUE(sendView(start, established, balancer("front-2"), young));
+    LONGS_EQUAL(1, young.agents().size());
+    CHECK_TRUE(young.digest() == established.digestFor(balancer("front-2")));
+}
+
+TEST(Roster, RecordedMemberThatNeverReportsIsRemoved)
+{
+    Roster young(balancer("front-2"), start + RemovalTimeout);
+    young.addRecorded(start, {agent("side-1")});
+    young.expire(start + RemovalTimeout - 1ms);
+    LONGS_EQUAL(1, young.agents().size());
+    CHECK_TRUE(young.expire(start + RemovalTimeout));
+    LONGS_EQUAL(0, young.agents().size());
+}
+
+/// A balancer that still has a member in its record doesn't give it back to an agent that knows
+/// that it is gone; a member that runs again is added.
+TEST(Roster, AgentKeepsARemovedMemberOutUntilItRuns)
+{
+    Roster complete(balancer("front-1"));
+    Roster roster(agent("side-2"));
+    complete.onReport(start, reportOf(agent("side-1")));
+    sendView(start, complete, agent("side-2"), roster);
+    Tunnel::Report last = reportOf(agent("side-1"), 2);
+    last.isLeaving = true;
+    complete.onReport(start, last);
+    sendView(start, complete, agent("side-2"), roster);
+    LONGS_EQUAL(0, roster.agents().size());
+    Roster young(balancer("front-2"), start + RemovalTimeout);
+    young.addRecorded(start, {agent("side-1")});
+    sendView(start, young, agent("side-2"), roster);
+    LONGS_EQUAL(0, roster.agents().size());
+    young.onReport(start, reportOf(agent("side-1")));
+    CHECK_TRUE(sendView(start, young, agent("side-2"), roster));
+    LONGS_EQUAL(1, roster.agents().size());
+}
+
 TEST(Roster, ListsBalancersKnownOnlyFromOtherRosters)
 {
     Roster source(balancer("front-1"));
