Control traffic: new balancers get a report each, and rosters come from the own failure domain

Two causes that grow with the square of the fleet, found by reading: 1. A balancer that learned of any change of any member reported at once to all others, although an agent tells all of them itself, and an agent that heard of a new balancer reported to all of them. With 59 balancers one change cost 3,422 reports of 330 bytes. Now only a balancer that is new to a process gets a report from it at once. 2. Rosters, 22 KB for an agent there and sent whole after each change, were asked for from all balancers in turn, four of five in another domain. Now two of three requests go to the own domain, the third to any balancer, so that a domain which doesn't receive another one's reports does not take its agents for gone within SettlingTime.

--- a/src/libs/forwarding/agentcore.cpp
+++ b/src/libs/forwarding/agentcore.cpp
@@ -417,7 +417,7 @@
         // On startup, a balancer sends reports to the agents that it found in the directory.
         const bool isBalancer = report->sender.role == Tunnel::Role::Balancer;
         if (isBalancer && roster_.onReport(now, *report))
-            reportScheduler_.onUrgentChange();
+            reportScheduler_.onNewBalancer(report->sender.instance.tunnel);
     } else if (const auto *redirects = std::get_if<Tunnel::Redirects>(&datagram.content)) {
         if (datagram.service == service_)
             director_.onRedirects(now, redirects->owner, redirects->flows);
--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -474,7 +474,8 @@
             agentSelector_.onReport(now, *report, isJoining(now, report->sender));
         if (roster_.onReport(now, *report)) {
             onRosterChanged(now);
-            reportScheduler_.onUrgentChange();
+            if (report->sender.role == Tunnel::Role::Balancer)
+                reportScheduler_.onNewBalancer(report->sender.instance.tunnel);
         }
         if (report->wantsRoster && report->rosterDigest != roster_.digestFor(report->sender)) {
             for (Tunnel::RosterPart &part : roster_.partsFor(now, report->sender))
--- a/src/libs/forwarding/reportscheduler.cpp
+++ b/src/libs/forwarding/reportscheduler.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/reportscheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Forwarding {
 
@@ -14,6 +15,19 @@
     isUrgent_ = true;
 }
 
+/// Returns the index in \a balancers, which is not empty, of the one that is asked for its roster.
+std::size_t ReportScheduler::nextRosterSource(const std::vector<Model::Instance> &balancers)
+{
+    std::vector<std::size_t> inDomain;
+    for (std::size_t index = 0; index < balancers.size(); ++index) {
+        if (balancers[index].failureDomain == failureDomain_)
+            inDomain.push_back(index);
+    }
+    const bool isAnyAsked = rosterRequests_++ % RosterRequestCycle == 0
+                            || inDomain.size() < Membership::MinOmissionsForRemoval;
+    return isAnyAsked ? anyTurn_++ % balancers.size() : inDomain[domainTurn_++ % inDomain.size()];
+}
+
 std::vector<ReportScheduler::Receiver> ReportScheduler::due(TimePoint now,
                                                             const Membership::Roster &roster)
 {
@@ -36,6 +50,7 @@
                 receivers.push_back({member, false});
         }
     }
+    const auto newBalancers = std::exchange(newBalancers_, {});
     if (balancers.empty())
         return receivers;
 
@@ -47,16 +62,17 @@
     const bool isFullDue = isUrgent_ || now - lastFullReport_ >= Membership::ReportInterval;
     const bool isDomainDue =
         hasChange_ && now - lastDomainReport_ >= std::max(MinReportSpacing, budgeted);
-    if (!isFullDue && !isDomainDue)
-        return receivers;
-    const std::size_t rosterSource = nextRosterRequest_ % balancers.size();
+    const std::size_t source = isFullDue ? nextRosterSource(balancers) : 0;
     for (std::size_t index = 0; index < balancers.size(); ++index) {
-        if (isFullDue || balancers[index].failureDomain == failureDomain_)
-            receivers.push_back({balancers[index].tunnel, isFullDue && index == rosterSource});
+        const Model::Instance &balancer = balancers[index];
+        const bool isInDomain = balancer.failureDomain == failureDomain_;
+        if (isFullDue || (isDomainDue && isInDomain) || newBalancers.contains(balancer.tunnel))
+            receivers.push_back({balancer.tunnel, isFullDue && index == source});
     }
+    if (!isFullDue && !isDomainDue)
+        return receivers;
     if (isFullDue) {
         lastFullReport_ = now;
-        ++nextRosterRequest_;
         isUrgent_ = false;
     }
     lastDomainReport_ = now;
--- a/src/libs/forwarding/reportscheduler.h
+++ b/src/libs/forwarding/reportscheduler.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Forwarding {
@@ -32,6 +33,12 @@
 /// How long after its start a process counts as starting.
 constexpr std::chrono::seconds StartupDuration{3};
 
+/// Of as many requests for a roster, one goes to any balancer and the others to those of the own
+/// failure domain, since bytes between failure domains are dear. If the own balancers don't receive
+/// the reports of another domain, a different view arrives within every SettlingTime, so that no
+/// agent takes that domain's agents for gone.
+constexpr std::size_t RosterRequestCycle = 3;
+
 /// Time without a change of the roster after which it includes every running owner, so that a flow
 /// without an owner may be reset. Two balancers were asked for their rosters within this time.
 constexpr std::chrono::milliseconds SettlingTime{2 * Membership::ReportInterval};
@@ -67,19 +74,28 @@
     /// Schedules a report to all balancers at the next call of due().
     void onUrgentChange();
 
+    /// Schedules a report to the balancer at \a tunnel alone, which has just started or was found
+    /// again. The others know this process.
+    void onNewBalancer(const Model::Endpoint &tunnel) { newBalancers_.insert(tunnel); }
+
     /// Returns the receivers of the reports that are due now: balancers in \a roster, and seeds and
     /// earlier members that are not in it. Starts the schedule when first called.
     std::vector<Receiver> due(TimePoint now, const Membership::Roster &roster);
 
 private:
+    std::size_t nextRosterSource(const std::vector<Model::Instance> &balancers);
+
     std::string failureDomain_;
     std::vector<Model::Endpoint> seeds_;
     std::vector<Model::Endpoint> lastKnownMembers_;
+    std::set<Model::Endpoint> newBalancers_; ///< that get the next report
     TimePoint lastFullReport_;
     TimePoint lastDomainReport_;
     TimePoint lastSeedReport_;
     std::optional<TimePoint> started_;
-    std::size_t nextRosterRequest_ = 0;
+    std::size_t rosterRequests_ = 0;
+    std::size_t anyTurn_ = 0;    ///< requests to any balancer
+    std::size_t domainTurn_ = 0; ///< requests to those of the own failure domain
     bool hasChange_ = true;
     bool isUrgent_ = true;
 };
