--- a/src/daemon/forwardingbalancerprocess.cpp
+++ b/src/daemon/forwardingbalancerprocess.cpp
@@ -165,7 +165,7 @@
         {process.readiness, process.control},
         {[&] {
              return !isStopping && traffic.withCore([](const Forwarding::BalancerCore &core) {
-                 return core.isConfigured() && core.roster().hasRunningAgents();
+                 return core.isConfigured() && core.roster().hasReportedAgents();
              });
          },
          {},
--- a/src/libs/flows/flowdirector.h
+++ b/src/libs/flows/flowdirector.h
@@ -26,8 +26,7 @@
 /// Time after which an unused redirect expires.
 constexpr std::chrono::minutes RedirectLifetime{5};
 
-/// How long a flow is remembered that the backend server returned: longer than the routers and
-/// callers use one without opening it anew.
+/// How long a flow is remembered that the backend server returned: no caller uses one for longer.
 constexpr std::chrono::minutes ReturnedFlowLifetime{1};
 
 /// Maximum number of such flows; further ones are tried on the server again.
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -147,9 +147,9 @@
     return changed;
 }
 
-/// Whether the member of \a entry, which \a part omits, is removed. \a needed is the number of
-/// balancers that have to omit it.
-bool Roster::isGone(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const
+/// Records that \a part omits the member of \a entry. Returns whether the member is gone, given
+/// that \a needed balancers have to omit it.
+bool Roster::recordOmission(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const
 {
     const bool isComplete = part.scope == Tunnel::RosterScope::Complete;
     if (isBalancer())
@@ -175,7 +175,7 @@
             ++entry;
             continue;
         }
-        if (isGone(known, part, needed)) {
+        if (recordOmission(known, part, needed)) {
             tombstones_[name] = {known.member.instance.incarnation, now};
             entry = entries_.erase(entry);
             changed = true;
@@ -326,10 +326,11 @@
                        [](const auto &entry) { return entry.second.member.isUnheard; });
 }
 
-bool Roster::hasRunningAgents() const
+bool Roster::hasReportedAgents() const
 {
     return std::any_of(entries_.begin(), entries_.end(), [](const auto &entry) {
-        return entry.second.member.role == Tunnel::Role::Agent && !entry.second.isSuspect;
+        const Tunnel::Member &member = entry.second.member;
+        return member.role == Tunnel::Role::Agent && !member.isUnheard;
     });
 }
 
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -104,8 +104,8 @@
     /// have too many, so that every balancer that is asked sends its roster.
     std::uint64_t digest() const;
 
-    /// Whether any agent is known that is not suspect.
-    bool hasRunningAgents() const;
+    /// Whether any agent is known that reported to this balancer or to another one.
+    bool hasReportedAgents() const;
 
     /// Returns the agents that announced a restart or, on an agent, do not report.
     std::vector<Model::Instance> restartingAgents() const;
@@ -141,7 +141,7 @@
                         const std::set<std::string> &listed);
     void expireTombstones(TimePoint now);
     bool hasUnheard() const;
-    bool isGone(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const;
+    bool recordOmission(Entry &entry, const Tunnel::RosterPart &part, std::size_t needed) const;
     bool isBalancer() const { return self_.role == Tunnel::Role::Balancer; }
     bool remove(TimePoint now, const std::string &name, Model::Incarnation incarnation);
 
