Agents learn from balancers that a member of the directory restarts

All balancers had restarted since the agent stopped, and knew it from the directory; they marked packets, since they saw that the system as a whole runs on. The agents that restarted later were told only that the member had not been heard, which does not bar a trial; then a balancer restarted while the store was down, and passed on packets without the mark. Now a balancer that knows that the system runs on tells agents that such members restart, and an agent does not unlearn it.

The steps of the property moved to functions for it; its checks are the same.

--- a/src/libs/forwarding/balancercore.cpp
+++ b/src/libs/forwarding/balancercore.cpp
@@ -163,6 +163,8 @@
     }
     reportScheduler_.setLastKnownMembers(std::move(tunnels));
     lostFlowSearch_.setDirectory(now, others, isComplete);
+    if (lostFlowSearch_.isSystemRunning())
+        roster_.setSystemRunning();
     if (roster_.scope(now) == Tunnel::RosterScope::Complete)
         return;
     if (isComplete)
@@ -470,6 +472,8 @@
     if (const auto *report = std::get_if<Tunnel::Report>(&datagram.content)) {
         onGeneration(now, datagram.generation, report->sender.instance.peer);
         lostFlowSearch_.onReport(now, *report);
+        if (lostFlowSearch_.isSystemRunning())
+            roster_.setSystemRunning();
         if (report->sender.role == Tunnel::Role::Agent)
             agentSelector_.onReport(now, *report, isJoining(now, report->sender));
         if (roster_.onReport(now, *report)) {
--- a/src/libs/membership/roster.cpp
+++ b/src/libs/membership/roster.cpp
@@ -13,9 +13,10 @@
 
 static std::uint64_t hashOf(const Tunnel::Member &member)
 {
-    const std::uint64_t words[3] = {std::uint64_t(Model::instanceId(member.instance.name)),
+    const std::uint64_t words[4] = {std::uint64_t(Model::instanceId(member.instance.name)),
                                     std::uint64_t(member.instance.incarnation),
-                                    std::uint64_t(member.instance.state)};
+                                    std::uint64_t(member.instance.state),
+                                    std::uint64_t(member.isUnheard)};
     return XXH3_64bits(words, sizeof words);
 }
 
@@ -116,9 +117,12 @@
     entry.omittedBy.clear();
     entry.missedBy.clear();
     if (!isBalancer()) {
+        Tunnel::Member next = member;
+        // What is known of it is not lost because a balancer that just started knows less.
+        next.isUnheard &= entry.member.isUnheard;
         const bool changed =
-            entry.member.instance != member.instance || entry.member.isUnheard != member.isUnheard;
-        entry.member = member;
+            entry.member.instance != next.instance || entry.member.isUnheard != next.isUnheard;
+        entry.member = next;
         return changed;
     }
     if (member.instance.incarnation < entry.member.instance.incarnation)
@@ -294,6 +298,7 @@
         if (entry.member.isUnheard && readerIsBalancer)
             continue;
         view.push_back(entry.member);
+        view.back().isUnheard &= !isSystemRunning_;
         if (entry.isSuspect && !readerIsBalancer)
             view.back().instance.state = Model::InstanceState::Suspect;
     }
--- a/src/libs/membership/roster.h
+++ b/src/libs/membership/roster.h
@@ -66,6 +66,10 @@
     /// Sets that this balancer's roster includes the members in the directory.
     void setRecordedIncluded() { includesRecorded_ = true; }
 
+    /// Sets that a member of the directory runs on since before this balancer started, so that the
+    /// system did not restart as a whole: agents are told that those not heard yet are restarting.
+    void setSystemRunning() { isSystemRunning_ = true; }
+
     /// Returns which members this process's roster includes for certain. An agent's roster includes
     /// what those of the balancers do from which it adopted members.
     Tunnel::RosterScope scope(TimePoint now) const;
@@ -148,6 +152,7 @@
     Tunnel::Member self_;
     TimePoint completeFrom_;
     bool includesRecorded_ = false; ///< on a balancer: the members in the directory
+    bool isSystemRunning_ = false;  ///< on a balancer: it did not restart as a whole
     Tunnel::RosterScope adoptedScope_ = Tunnel::RosterScope::Reported; ///< on an agent
     std::map<std::string, Entry> entries_;
     std::map<std::string, Tombstone> tombstones_;
--- a/tests/auto/forwarding/tst_flowsacrossrestarts.cpp
+++ b/tests/auto/forwarding/tst_flowsacrossrestarts.cpp
@@ -290,83 +290,105 @@
     CHECK_TRUE(core.newerConfiguration()->pages == (Model::Endpoint{0x0a010003, 7001}));
 }
 
+/// Plays one step of planned work in \a simulation, as selected by \a step.
+static void playStep(Simulation &simulation, std::uint8_t step, bool &hasJoined)
+{
+    const std::size_t what = step / 10;
+    switch (step % 10) {
+    case 0:
+    case 1:
+        simulation.open(what % 3);
+        break;
+    case 2:
+        simulation.stopAgent(what % 5, true);
+        break;
+    case 3:
+        if (!simulation.agent(what % 5).core)
+            simulation.startAgent(what % 5);
+        break;
+    case 4:
+        simulation.stopBalancer(what % 3);
+        simulation.run(300ms);
+        simulation.startBalancer(what % 3);
+        break;
+    case 5:
+        stopAllBalancers(simulation);
+        simulation.run(800ms);
+        startAllBalancers(simulation);
+        break;
+    case 6:
+        simulation.isStoreDown = what % 2 == 0;
+        break;
+    case 7:
+        simulation.agent(what % 5).backend.started = simulation.now() - 1ms;
+        simulation.sendHeartbeat(what % 5);
+        break;
+    case 8:
+        if (!std::exchange(hasJoined, true)) {
+            simulation.join(5);
+        } else if (what % 4 == 0 && simulation.agent(5).core) {
+            simulation.drain(5);
+            simulation.run(500ms);
+            simulation.leave(5);
+        }
+        break;
+    default:
+        for (std::size_t number = 0; number < simulation.callerCount(); ++number)
+            simulation.sendData(number, (number + what) % 3);
+    }
+    simulation.run(std::chrono::milliseconds(20 + what * 10));
+}
+
+/// Plays \a steps of planned work, and then lets all processes run. Returns what broke, or nothing:
+/// no flow of a running server may be reset, its packets must not reach other servers in place of
+/// its own, and in the end it must be reached through every balancer.
+static std::string faultOf(const std::vector<std::uint8_t> &steps)
+{
+    Simulation simulation(3, 6, "", 1);
+    bool hasJoined = false;
+    for (const std::uint8_t step : steps) {
+        ++generatedSteps;
+        playStep(simulation, step, hasJoined);
+    }
+    simulation.isStoreDown = false;
+    for (std::size_t index = 0; index < 5; ++index) {
+        if (!simulation.agent(index).core)
+            simulation.startAgent(index);
+    }
+    simulation.run(Membership::RemovalTimeout + 2s);
+    for (std::size_t number = 0; number < simulation.callerCount(); ++number) {
+        for (std::size_t balancer = 0; balancer < simulation.balancerCount(); ++balancer) {
+            if (!simulation.mustSurvive(number))
+                continue;
+            const auto before = simulation.receivedPackets(number);
+            simulation.sendData(number, balancer);
+            simulation.run(40ms);
+            if (simulation.receivedPackets(number) != before + 1)
+                return "unreachable";
+        }
+    }
+    if (simulation.wrongResets > 0)
+        return "reset";
+    if (simulation.strayFlows > 0)
+        return "astray";
+    return simulation.misdelivered > 0 ? "misdelivered" : "";
+}
+
 /// Planned restarts of agents and balancers, one by one and all at once, joins, leaves, servers
-/// whose clocks went back and outages of the store, overlapping: no flow of a running server is
-/// reset, its packets don't reach other servers in place of its own, and once all processes run
-/// again it is reached through every balancer.
+/// whose clocks went back and outages of the store, overlapping.
 TEST(FlowsAcrossRestarts, FlowsOfRunningServersSurviveAnyPlannedWork)
 {
     checkProperty(
         "flows survive planned work",
-        [](const std::vector<std::uint8_t> &steps) {
-            Simulation simulation(3, 6, "", 1);
-            bool hasJoined = false;
-            for (const std::uint8_t step : steps) {
-                ++generatedSteps;
-                const std::size_t what = step / 10;
-                switch (step % 10) {
-                case 0:
-                case 1:
-                    simulation.open(what % 3);
-                    break;
-                case 2:
-                    simulation.stopAgent(what % 5, true);
-                    break;
-                case 3:
-                    if (!simulation.agent(what % 5).core)
-                        simulation.startAgent(what % 5);
-                    break;
-                case 4:
-                    simulation.stopBalancer(what % 3);
-                    simulation.run(300ms);
-                    simulation.startBalancer(what % 3);
-                    break;
-                case 5:
-                    stopAllBalancers(simulation);
-                    simulation.run(800ms);
-                    startAllBalancers(simulation);
-                    break;
-                case 6:
-                    simulation.isStoreDown = what % 2 == 0;
-                    break;
-                case 7:
-                    simulation.agent(what % 5).backend.started = simulation.now() - 1ms;
-                    simulation.sendHeartbeat(what % 5);
-                    break;
-                case 8:
-                    if (!std::exchange(hasJoined, true)) {
-                        simulation.join(5);
-                    } else if (what % 4 == 0 && simulation.agent(5).core) {
-                        simulation.drain(5);
-                        simulation.run(500ms);
-                        simulation.leave(5);
-                    }
-                    break;
-                default:
-                    for (std::size_t number = 0; number < simulation.callerCount(); ++number)
-                        simulation.sendData(number, (number + what) % 3);
-                }
-                simulation.run(std::chrono::milliseconds(20 + what * 10));
-            }
-            simulation.isStoreDown = false;
-            for (std::size_t index = 0; index < 5; ++index) {
-                if (!simulation.agent(index).core)
-                    simulation.startAgent(index);
-            }
-            simulation.run(Membership::RemovalTimeout + 2s);
-            for (std::size_t number = 0; number < simulation.callerCount(); ++number) {
-                if (!simulation.mustSurvive(number))
-                    continue;
-                for (std::size_t balancer = 0; balancer < simulation.balancerCount(); ++balancer) {
-                    const auto before = simulation.receivedPackets(number);
-                    simulation.sendData(number, balancer);
-                    simulation.run(40ms);
-                    RC_ASSERT(simulation.receivedPackets(number) == before + 1);
-                }
-            }
-            RC_ASSERT(simulation.wrongResets == 0u);
-            RC_ASSERT(simulation.strayFlows == 0u);
-            RC_ASSERT(simulation.misdelivered == 0u);
-        },
+        [](const std::vector<std::uint8_t> &steps) { RC_ASSERT(faultOf(steps) == ""); },
         MinPlannedSteps);
 }
+
+/// Series that the property found while it was built.
+TEST(FlowsAcrossRestarts, RecordedSeriesOfPlannedWorkBreakNoFlow)
+{
+    // Only balancers said that an agent restarts; all of them restarted while the store was down.
+    STRCMP_EQUAL("", faultOf({2, 122, 0, 192, 232, 173, 26, 153, 83, 145, 119}).c_str());
+    // Agents that restarted knew of the absent one from the directory only.
+    STRCMP_EQUAL("", faultOf({12, 14, 0, 22, 113, 45, 52, 82, 106, 40, 83, 103, 84, 29}).c_str());
+}
