--- a/tests/auto/forwarding/fleet.h
+++ b/tests/auto/forwarding/fleet/simulation.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "control/routerecord.h"
-#include "forwarding/agentcore.h"
-#include "forwarding/balancercore.h"
-#include "membership/directory.h"
+#include "forwarding/fleet/nodes.h"
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,16 +12,14 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
+#include <variant>
 #include <vector>
 
-/// Simulates the network, backend servers and callers around real BalancerCore and AgentCore
-/// objects. The simulation tracks which backend server holds which flow, so that tests can check
-/// decisions.
 namespace Fleet {
 
 using namespace std::chrono_literals;
-using Forwarding::TimePoint;
 
 constexpr std::chrono::microseconds HopDelay{500};
 constexpr std::chrono::milliseconds TickInterval{20};
@@ -40,122 +36,8 @@
 constexpr std::chrono::seconds MaxConfigurationLag{3};
 constexpr std::chrono::milliseconds LateLag{2500};
 
-struct Backend
-{
-    std::string service;
-    std::string id;
-    std::int64_t startTimeMs = 0;
-    std::uint64_t sequence = 0;
-    TimePoint started; ///< default: before the simulation began
-    bool isAlive = true;
-    bool isDraining = false;
-    std::uint32_t nextSequence = 1000;
-    std::map<Model::FlowKey, std::uint32_t> synAckSequences; ///< sequence of each SYN+ACK
-    std::set<Model::FlowKey> flows;                          ///< open, after a complete handshake
-    std::uint64_t synsAfterDrain = 0;
-    int responseStatus = 200;
-};
-
-struct AgentNode
-{
-    std::unique_ptr<Forwarding::AgentCore> core;
-    Model::Endpoint tunnel;
-    Model::Endpoint app;
-    std::string name;
-    std::string domain;
-    Backend backend;
-    std::map<Model::FlowKey, Tunnel::TcpPacket> held;
-    bool wasKilled = false;    ///< the process ended without reports and was not restarted
-    bool hasLostPower = false; ///< the backend server ended with the process
-};
-
-/// The store as the balancers see it that read and write the record of former targets.
-class RecordStore
-{
-public:
-    boost::leaf::result<Store::Object> read(const std::string &key)
-    {
-        if (version == 0)
-            return failure(Store::FailureKind::NotFound);
-        return Store::Object{key, Store::Version(version, storeTimeline), value};
-    }
-
-    boost::leaf::result<Store::Version> write(const std::string &, const std::string &newValue,
-                                              Store::Precondition precondition)
-    {
-        const auto *const expected = std::get_if<Store::IfVersion>(&precondition);
-        if (version != (expected ? expected->version.number() : 0))
-            return failure(Store::FailureKind::Conflict);
-        valueCopy = std::exchange(value, newValue);
-        ++version;
-        ++writes;
-        return Store::Version(version, storeTimeline);
-    }
-
-    boost::leaf::result<Store::Listing> list(const std::string &) const
-    {
-        return failure(Store::FailureKind::Malformed);
-    }
-    boost::leaf::result<Store::Version> remove(const std::string &, Store::Version) const
-    {
-        return failure(Store::FailureKind::Malformed);
-    }
-    boost::leaf::result<Store::Changes> watch(const std::string &, Store::Revision,
-                                              std::chrono::milliseconds) const
-    {
-        return failure(Store::FailureKind::Malformed);
-    }
-    Store::Timeline timeline() const { return storeTimeline; }
-
-    void restore(Store::Timeline next)
-    {
-        value = valueCopy;
-        storeTimeline = next;
-    }
-
-    std::uint64_t version = 0; ///< 0: there is no record
-    std::uint64_t writes = 0;
-    std::string value;
-    std::string valueCopy; ///< before the latest write
-    Store::Timeline storeTimeline{1};
-
-private:
-    static boost::leaf::error_id failure(Store::FailureKind kind)
-    {
-        return boost::leaf::new_error(Store::Failure{kind});
-    }
-};
-
-struct BalancerNode
-{
-    std::unique_ptr<Forwarding::BalancerCore> core;
-    Tunnel::Member self;
-    Membership::DirectoryPolicy directoryPolicy;
-    std::uint64_t directoryVersion = 0; ///< of the directory that it read or wrote last
-    bool knowsLastMembers = false;
-    std::unique_ptr<Control::RouteRecorder<RecordStore>> recorder;
-    std::set<Model::Endpoint> knownAddresses; ///< in any configuration that it had in force
-};
-
-/// The member directory as the store keeps it.
-struct StoredDirectory
-{
-    std::string value;
-    std::uint64_t version = 0; ///< 0: it does not exist
-};
-
-struct Caller
-{
-    Model::FlowKey flow;
-    TimePoint synSent;
-    std::uint64_t answers = 0;    ///< responses that reached it
-    bool wasRouteDropped = false; ///< a configuration without its route was accepted or in force
-    std::optional<std::uint32_t> acknowledgement; ///< of its packets, after the handshake
-    std::optional<std::size_t> owner; ///< index of the agent whose backend server answered
-    bool wasReset = false;
-    std::vector<TimePoint> strays; ///< packets at other servers since the last one at its own
-};
-
+/// Simulates the network, backend servers and callers around real BalancerCore and AgentCore
+/// objects. Tracks which backend server holds which flow, so that tests can check decisions.
 class Simulation
 {
 public:
--- a/tests/auto/forwarding/tst_flowsacrossrestarts.cpp
+++ b/tests/auto/forwarding/tst_flowsacrossrestarts.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/fleet.h"
+#include "forwarding/fleet/simulation.h"
 
 #include "property.h"
 
