--- a/tests/system/failures.py
+++ b/tests/system/failures.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -361,6 +362,22 @@
     require(http("GET", deployment.platform, "/counts")["revision"] == 0, "the store was modified")
 
 
+@scenario
+def signal_while_settings_are_read(deployment):
+    """SIGHUP reaches a daemon that still waits for its settings: it reads them, and ends as they tell."""
+    pipe = pathlib.Path(deployment.folder.name) / "settings"
+    os.mkfifo(pipe)
+    command = [deployment_bin("gypsumwingd"), "--settings", pipe]
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as daemon:
+        # Opening the pipe waits until the daemon reads it.
+        with open(pipe, "w", encoding="utf-8") as settings:
+            daemon.send_signal(signal.SIGHUP)
+            time.sleep(0.3)
+            require(daemon.poll() is None, f"ended by the signal: {daemon.returncode}")
+            settings.write('{ "role": "unknown" }')
+        require(daemon.wait(10) == 2, f"exit code {daemon.returncode}")
+
+
 def deployment_bin(name):
     from deployment import BIN
     return BIN / name
