--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,7 @@
 from deployment import FLOW_WINDOW_S, Client, Deployment, main, wait_until  # noqa: E402
 
 ROUTES = [(8443, "dispatch"), (8444, "quoting")]
-FLOWS = 60
+FLOWS = 150
 GAP_S = 1.0  # between two SIGTERMs of a restart in turn
 
 
